--- /dev/null
+++ b/internal/daemon/settings/settings.go
@@ -0,0 +1,320 @@
+package settings
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"waxwingplank/internal/core/jsonc"
+	"waxwingplank/internal/core/table"
+)
+
+// file is the settings file; see docs/operations.md for each field.
+type file struct {
+	Host          string       `json:"host"`
+	FailureDomain string       `json:"failure_domain"`
+	Region        string       `json:"region"`
+	Caller        string       `json:"caller_address"`
+	Peer          string       `json:"peer_address"`
+	Operator      string       `json:"operator_address"`
+	Platform      platformFile `json:"platform"`
+	Claims        claimsFile   `json:"claims"`
+	Limits        limitsFile   `json:"limits"`
+	SealKeys      []sealFile   `json:"seal_keys"`
+	TLS           *tlsFile     `json:"tls"`
+	TokensFile    string       `json:"tokens_file"`
+	LogLevel      string       `json:"log_level"`
+}
+
+type platformFile struct {
+	ObjectAPI   string `json:"object_api_address"`
+	HostList    string `json:"host_list_address"`
+	WeightStore string `json:"weight_store_address"`
+	TimeoutMs   int64  `json:"timeout_ms"`
+}
+
+type claimsFile struct {
+	Shards      int   `json:"shards"`
+	FlushMs     int64 `json:"flush_ms"`
+	InlineBytes int   `json:"inline_bytes"`
+}
+
+type limitsFile struct {
+	BodyBytes      int64 `json:"body_bytes"`
+	HeaderBytes    int   `json:"header_bytes"`
+	Streams        int   `json:"streams"`
+	MaxRequestMs   int64 `json:"max_request_ms"`
+	DrainTimeoutMs int64 `json:"drain_timeout_ms"`
+	AnswerBytes    int64 `json:"answer_bytes"`
+}
+
+type sealFile struct {
+	ID  string `json:"id"`
+	Key string `json:"key_base64"`
+}
+
+type tlsFile struct {
+	CallerCert string `json:"caller_cert_file"`
+	CallerKey  string `json:"caller_key_file"`
+	PeerCert   string `json:"peer_cert_file"`
+	PeerKey    string `json:"peer_key_file"`
+	PeerCA     string `json:"peer_ca_file"`
+}
+
+// Settings is a checked settings file.
+type Settings struct {
+	f        file
+	sealKeys []SealKey
+}
+
+// SealKey is one key that seals event identifiers.
+type SealKey struct {
+	id  string
+	key []byte
+}
+
+// ID returns the name of the key.
+func (k SealKey) ID() string { return k.id }
+
+// Key returns the 32 bytes of the key.
+func (k SealKey) Key() []byte { return k.key }
+
+// TLS names the certificate files.
+type TLS struct{ f tlsFile }
+
+// CallerCert returns the certificate file for callers and operators.
+func (t TLS) CallerCert() string { return t.f.CallerCert }
+
+// CallerKey returns the key file for callers and operators.
+func (t TLS) CallerKey() string { return t.f.CallerKey }
+
+// PeerCert returns the certificate file between hosts.
+func (t TLS) PeerCert() string { return t.f.PeerCert }
+
+// PeerKey returns the key file between hosts.
+func (t TLS) PeerKey() string { return t.f.PeerKey }
+
+// PeerCA returns the file of the authority that signs the hosts' certificates.
+func (t TLS) PeerCA() string { return t.f.PeerCA }
+
+// Load reads and checks the settings file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "settings.Load")
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse checks the text of a settings file; an error names line and field.
+func Parse(data []byte) (Settings, error) {
+	f := defaults()
+	at, err := jsonc.Decode(data, &f)
+	if err != nil {
+		return Settings{}, err
+	}
+	if err := check(at, f); err != nil {
+		return Settings{}, err
+	}
+	s := Settings{f: f}
+	for _, k := range f.SealKeys {
+		key, err := base64.StdEncoding.DecodeString(k.Key)
+		if err != nil {
+			return Settings{}, eris.Wrap(err, "settings.Parse")
+		}
+		s.sealKeys = append(s.sealKeys, SealKey{id: k.ID, key: key})
+	}
+	return s, nil
+}
+
+func defaults() file {
+	return file{
+		LogLevel: "info",
+		Platform: platformFile{TimeoutMs: 1000},
+		// Eight shards flushed at most every 25 ms stay under 320 writes/s of the several hundred
+		// that the object API takes.
+		Claims: claimsFile{Shards: 8, FlushMs: 25, InlineBytes: 64 << 10},
+		Limits: limitsFile{
+			BodyBytes:      1 << 20,
+			HeaderBytes:    32 << 10,
+			Streams:        4096,
+			MaxRequestMs:   300_000,
+			DrainTimeoutMs: 330_000,
+			AnswerBytes:    1 << 20,
+		},
+	}
+}
+
+// bound is the allowed range of a number.
+type bound struct {
+	field    string
+	value    int64
+	min, max int64
+}
+
+func check(at *jsonc.File, f file) error {
+	names := []struct{ field, value string }{
+		{"host", f.Host},
+		{"failure_domain", f.FailureDomain},
+		{"region", f.Region},
+	}
+	for _, n := range names {
+		if n.value == "" {
+			return at.Fault(n.field, "is missing")
+		}
+	}
+	addresses := []struct{ field, value string }{
+		{"caller_address", f.Caller},
+		{"peer_address", f.Peer},
+		{"operator_address", f.Operator},
+		{"platform.object_api_address", f.Platform.ObjectAPI},
+		{"platform.host_list_address", f.Platform.HostList},
+		{"platform.weight_store_address", f.Platform.WeightStore},
+	}
+	for _, a := range addresses {
+		if a.value == "" {
+			return at.Fault(a.field, "is missing")
+		}
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return at.Fault(a.field, "must be an IP number and a port, such as 192.0.2.1:8100")
+		}
+	}
+	const day = 86_400_000
+	bounds := []bound{
+		{"platform.timeout_ms", f.Platform.TimeoutMs, 10, 60_000},
+		{"claims.shards", int64(f.Claims.Shards), 1, 4096},
+		{"claims.flush_ms", f.Claims.FlushMs, 1, 1000},
+		{"claims.inline_bytes", int64(f.Claims.InlineBytes), 1 << 10, 512 << 10},
+		{"limits.body_bytes", f.Limits.BodyBytes, 1 << 10, 64 << 20},
+		{"limits.header_bytes", int64(f.Limits.HeaderBytes), 1 << 10, 1 << 20},
+		{"limits.streams", int64(f.Limits.Streams), 1, 1 << 20},
+		{"limits.max_request_ms", f.Limits.MaxRequestMs, 100, day},
+		{"limits.drain_timeout_ms", f.Limits.DrainTimeoutMs, 100, day},
+		{"limits.answer_bytes", f.Limits.AnswerBytes, 1 << 10, 64 << 20},
+	}
+	for _, b := range bounds {
+		if b.value < b.min || b.value > b.max {
+			return at.Fault(b.field, fmt.Sprintf("is %d, must be from %d to %d", b.value, b.min, b.max))
+		}
+	}
+	// A shorter drain would cut off requests in flight.
+	if f.Limits.DrainTimeoutMs <= f.Limits.MaxRequestMs {
+		return at.Fault("limits.drain_timeout_ms", "must be longer than limits.max_request_ms")
+	}
+	return checkKeys(at, f)
+}
+
+func checkKeys(at *jsonc.File, f file) error {
+	if len(f.SealKeys) == 0 {
+		return at.Fault("seal_keys", "needs at least one key")
+	}
+	for i, k := range f.SealKeys {
+		field := fmt.Sprintf("seal_keys[%d]", i)
+		if k.ID == "" || len(k.ID) > 8 {
+			return at.Fault(field+".id", "must have 1 to 8 characters")
+		}
+		if key, err := base64.StdEncoding.DecodeString(k.Key); err != nil || len(key) != 32 {
+			return at.Fault(field+".key_base64", "must be 32 bytes in base64")
+		}
+	}
+	if f.TLS == nil {
+		return nil
+	}
+	files := []struct{ field, value string }{
+		{"tls.caller_cert_file", f.TLS.CallerCert},
+		{"tls.caller_key_file", f.TLS.CallerKey},
+		{"tls.peer_cert_file", f.TLS.PeerCert},
+		{"tls.peer_key_file", f.TLS.PeerKey},
+		{"tls.peer_ca_file", f.TLS.PeerCA},
+	}
+	for _, n := range files {
+		if n.value == "" {
+			return at.Fault(n.field, "is missing")
+		}
+	}
+	return nil
+}
+
+// Host returns the name of this host.
+func (s Settings) Host() table.HostID { return table.HostID(s.f.Host) }
+
+// FailureDomain returns the failure domain of this host.
+func (s Settings) FailureDomain() string { return s.f.FailureDomain }
+
+// Region returns the region of this host.
+func (s Settings) Region() string { return s.f.Region }
+
+// Caller returns the address for callers.
+func (s Settings) Caller() string { return s.f.Caller }
+
+// Peer returns the address for other hosts.
+func (s Settings) Peer() string { return s.f.Peer }
+
+// Operator returns the address for operators and metrics.
+func (s Settings) Operator() string { return s.f.Operator }
+
+// ObjectAPI returns the address of the object API.
+func (s Settings) ObjectAPI() string { return s.f.Platform.ObjectAPI }
+
+// HostList returns the address of the host list.
+func (s Settings) HostList() string { return s.f.Platform.HostList }
+
+// WeightStore returns the address of the weight store.
+func (s Settings) WeightStore() string { return s.f.Platform.WeightStore }
+
+// PlatformTimeout returns the time after which a call to the platform counts as failed.
+func (s Settings) PlatformTimeout() time.Duration { return ms(s.f.Platform.TimeoutMs) }
+
+// ClaimShards returns the number of claim shards, which must be the same on all hosts.
+func (s Settings) ClaimShards() int { return s.f.Claims.Shards }
+
+// ClaimFlush returns the shortest time between two writes of a claim shard.
+func (s Settings) ClaimFlush() time.Duration { return ms(s.f.Claims.FlushMs) }
+
+// ClaimInlineBytes returns the size at which the entries of a claim shard are sealed.
+func (s Settings) ClaimInlineBytes() int { return s.f.Claims.InlineBytes }
+
+// BodyBytes returns the largest body of a request.
+func (s Settings) BodyBytes() int64 { return s.f.Limits.BodyBytes }
+
+// HeaderBytes returns the largest header of a request.
+func (s Settings) HeaderBytes() int { return s.f.Limits.HeaderBytes }
+
+// Streams returns the number of streams that the host serves at once.
+func (s Settings) Streams() int { return s.f.Limits.Streams }
+
+// MaxRequest returns the longest lifetime of a request.
+func (s Settings) MaxRequest() time.Duration { return ms(s.f.Limits.MaxRequestMs) }
+
+// DrainTimeout returns the longest time that a planned stop waits for requests in flight.
+func (s Settings) DrainTimeout() time.Duration { return ms(s.f.Limits.DrainTimeoutMs) }
+
+// AnswerBytes returns the largest answer of a plain service.
+func (s Settings) AnswerBytes() int64 { return s.f.Limits.AnswerBytes }
+
+// SealKeys returns the keys that seal event identifiers, the newest first.
+func (s Settings) SealKeys() []SealKey { return s.sealKeys }
+
+// TLS returns the certificate files, if any.
+func (s Settings) TLS() (TLS, bool) {
+	if s.f.TLS == nil {
+		return TLS{}, false
+	}
+	return TLS{f: *s.f.TLS}, true
+}
+
+// TokensFile returns the file of callers' tokens, or an empty string.
+func (s Settings) TokensFile() string { return s.f.TokensFile }
+
+// LogLevel returns the least severe level that is logged.
+func (s Settings) LogLevel() string { return s.f.LogLevel }
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/ingress/caller/answer.go
@@ -0,0 +1,125 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"waxwingplank/internal/core/outcome"
+
+	"github.com/rotisserie/eris"
+)
+
+type refusalBody struct {
+	Error refusalDetail `json:"error"`
+}
+
+type refusalDetail struct {
+	Code         outcome.Code    `json:"code"`
+	Message      string          `json:"message"`
+	Outcome      outcome.Outcome `json:"outcome"`
+	RetryAfterMs int64           `json:"retry_after_ms,omitempty"`
+	Address      string          `json:"address,omitempty"`
+}
+
+func refusal(code outcome.Code, message string, first bool) *outcome.Refusal {
+	return outcome.NewRefusal(outcome.RefusalConfig{
+		Code:    code,
+		Message: message,
+		Facts:   outcome.Facts{FirstSend: first},
+	})
+}
+
+func firstSend(r *http.Request) bool { return r.Header.Get(HeaderAttempt) == "1" }
+
+// asRefusal turns any error into a refusal; an error of unknown kind may have reached an endpoint.
+func asRefusal(err error) *outcome.Refusal {
+	var known *outcome.Refusal
+	if errors.As(err, &known) {
+		return known
+	}
+	return outcome.NewRefusal(outcome.RefusalConfig{
+		Code:    outcome.Internal,
+		Message: err.Error(),
+		Facts:   outcome.Facts{BytesSent: true},
+	})
+}
+
+func errorBody(r *outcome.Refusal) refusalBody {
+	return refusalBody{Error: refusalDetail{
+		Code:         r.Code(),
+		Message:      r.Message(),
+		Outcome:      r.Outcome(),
+		RetryAfterMs: r.RetryAfter().Milliseconds(),
+		Address:      r.Address(),
+	}}
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, err error) {
+	r := asRefusal(err)
+	w.Header().Set(HeaderOutcome, string(r.Outcome()))
+	if r.RetryAfter() > 0 {
+		seconds := int64((r.RetryAfter() + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	writeJSON(w, Status(r.Code()), errorBody(r))
+}
+
+// Status returns the HTTP status that goes with a refusal code.
+func Status(code outcome.Code) int {
+	switch code {
+	case outcome.BadRequest, outcome.KeyInFuture:
+		return http.StatusBadRequest
+	case outcome.Unauthorized:
+		return http.StatusUnauthorized
+	case outcome.Forbidden:
+		return http.StatusForbidden
+	case outcome.NotFound:
+		return http.StatusNotFound
+	case outcome.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case outcome.Conflict, outcome.KeyUsed, outcome.KeyExpired:
+		return http.StatusConflict
+	case outcome.Quarantined:
+		return http.StatusUnprocessableEntity
+	case outcome.StreamLost:
+		return http.StatusGone
+	case outcome.QueueFull, outcome.NoCapacity, outcome.DeadlineTooShort:
+		return http.StatusTooManyRequests
+	case outcome.PlatformDown, outcome.Leaving:
+		return http.StatusServiceUnavailable
+	case outcome.EndpointFailed:
+		return http.StatusBadGateway
+	case outcome.Timeout:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+func (h *Handler) readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, h.cfg.BodyBytes+1))
+	if err != nil {
+		return nil, refusal(outcome.BadRequest, eris.Wrap(err, "body").Error(), firstSend(r))
+	}
+	if int64(len(body)) > h.cfg.BodyBytes {
+		return nil, refusal(outcome.TooLarge, "body is larger than the limit of this host", firstSend(r))
+	}
+	return body, nil
+}
+
+func (h *Handler) lifetime(req Request) time.Duration {
+	if req.Timeout > 0 {
+		return min(req.Timeout, h.cfg.RequestLifetime)
+	}
+	return h.cfg.RequestLifetime
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
