Add clients of platform and endpoints and their stand-ins

Cause: the daemon's I/O packages and every test that runs a whole system need the clients of the object API, host list, weight store, engines and plain services, and servers to run them against.

Conclusion: first version for other work to build on.

--- /dev/null
+++ b/internal/endpoint/engine/errors.go
@@ -0,0 +1,79 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// The kinds of failures; match them with errors.Is.
+var (
+	// ErrUnreachable means that no connection was made, so no byte was sent.
+	ErrUnreachable = errors.New("engine unreachable")
+	// ErrSilent means that the engine sent nothing, not even a heartbeat, within the progress deadline.
+	ErrSilent = errors.New("connection silent")
+	// ErrReset means that the connection ended before the answer did, as it does when an engine crashes.
+	ErrReset = errors.New("connection lost")
+	// ErrRefused means that the engine answered with an error status and did not run the request.
+	ErrRefused = errors.New("refused by the engine")
+	// ErrMalformed means that the answer broke the protocol or a size bound.
+	ErrMalformed = errors.New("malformed answer")
+	// ErrCanceled means that the caller's context ended.
+	ErrCanceled = errors.New("canceled by the caller")
+)
+
+// Error is a failed call or a broken stream.
+type Error struct {
+	kind       error
+	operation  string
+	address    string
+	sent       bool
+	status     int
+	code       string
+	retryAfter time.Duration
+	cause      error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.cause == nil {
+		return fmt.Sprintf("engine: %s %s: %v", e.operation, e.address, e.kind)
+	}
+	return fmt.Sprintf("engine: %s %s: %v: %v", e.operation, e.address, e.kind, e.cause)
+}
+
+// Unwrap returns the kind and the cause.
+func (e *Error) Unwrap() []error {
+	if e.cause == nil {
+		return []error{e.kind}
+	}
+	return []error{e.kind, e.cause}
+}
+
+// Sent reports whether a byte of the request may have reached the engine.
+func (e *Error) Sent() bool { return e.sent }
+
+// Status returns the HTTP status of a refusal, or zero.
+func (e *Error) Status() int { return e.status }
+
+// Code returns the engine's code for a refusal, such as unknown_stream or old_fence, or an empty string.
+func (e *Error) Code() string { return e.code }
+
+// RetryAfter returns the wait that the engine asked for, or zero.
+func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
+
+// Sent reports whether the error leaves open that a byte reached the engine; errors of other packages do.
+func Sent(err error) bool {
+	if e, ok := errors.AsType[*Error](err); ok {
+		return e.sent
+	}
+	return err != nil
+}
+
+// Code returns the engine's code for a refusal, or an empty string.
+func Code(err error) string {
+	if e, ok := errors.AsType[*Error](err); ok {
+		return e.code
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/endpoint/engine/order.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"context"
+	"encoding/hex"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingplank/internal/core/table"
+)
+
+// OrderKind tells what an order changes.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderLoad   OrderKind = "load"
+	OrderUnload OrderKind = "unload"
+	OrderRole   OrderKind = "role"
+)
+
+// OldFence is the code of the refusal of an order whose fencing token is not the newest.
+const OldFence = "old_fence"
+
+// Order states a desired end state, so that repeating it is harmless.
+type Order struct {
+	ID      string
+	Fence   int64
+	Kind    OrderKind
+	Model   string
+	Version string
+	Adapter string
+	// Role is the role to take for an order of kind role.
+	Role   string
+	Layers table.Layers
+}
+
+// Order sends an order. A refusal for an old fencing token has the code OldFence.
+func (c *Client) Order(ctx context.Context, address string, o Order) error {
+	in := struct {
+		Order   string    `json:"order"`
+		Fence   int64     `json:"fence"`
+		Kind    OrderKind `json:"kind"`
+		Model   string    `json:"model"`
+		Version string    `json:"version"`
+		Adapter string    `json:"adapter,omitempty"`
+		Role    string    `json:"role,omitempty"`
+		Layers  [2]int    `json:"layers"`
+	}{o.ID, o.Fence, o.Kind, o.Model, o.Version, o.Adapter, o.Role, [2]int{o.Layers.From, o.Layers.To}}
+	return c.call(ctx, exchange{
+		operation: "order", method: http.MethodPost, address: address, path: "/v1/orders", timeout: c.order, in: in,
+	})
+}
+
+const (
+	// prefixBlockBytes is the grain of the prefix cache: about 64 tokens of text.
+	prefixBlockBytes = 256
+	// maxPrefixBlocks covers a preamble of 4 KiB and bounds the hashes of one request.
+	maxPrefixBlocks = 16
+)
+
+// PrefixHashes returns the hashes of the prompt's leading blocks, shortest prefix first.
+func PrefixHashes(prompt string) []string {
+	blocks := min(len(prompt)/prefixBlockBytes, maxPrefixBlocks)
+	hashes := make([]string, blocks)
+	digest := xxhash.New()
+	for i := range blocks {
+		_, _ = digest.WriteString(prompt[i*prefixBlockBytes : (i+1)*prefixBlockBytes])
+		hashes[i] = hex.EncodeToString(digest.Sum(nil))
+	}
+	return hashes
+}
--- /dev/null
+++ b/internal/platform/objectapi/client.go
@@ -0,0 +1,275 @@
+package objectapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// defaultTimeout is far above the milliseconds that the object API needs when it works.
+	defaultTimeout = 2 * time.Second
+	// maxValueBytes is the limit of the object API for one value.
+	maxValueBytes = 1 << 20
+	// maxListBytes bounds the answer of List and Watch to half of the 32 MB that a host may spend on control.
+	maxListBytes = 16 << 20
+	// maxIdleConnections keeps one connection for each concurrent shard write of a host.
+	maxIdleConnections = 32
+)
+
+// Config describes a Client.
+type Config struct {
+	// Address is host:port of the object API.
+	Address string
+	// Timeout bounds each call; a watch may take its wait time longer.
+	Timeout time.Duration
+}
+
+// Client calls the object API.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: cfg.Timeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &Client{
+		base:    "http://" + cfg.Address,
+		timeout: cfg.Timeout,
+		http: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get reads one object.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	a := c.call(ctx, call{method: http.MethodGet, path: objectPath(kind, name), limit: maxValueBytes})
+	if a.err != nil {
+		return Object{}, a.err
+	}
+	version, err := parseVersion(a.header.Get("ETag"))
+	if err != nil {
+		return Object{}, a.fail(ErrUnavailable, err)
+	}
+	return Object{kind: kind, name: name, version: version, value: a.body}, nil
+}
+
+// Put writes one object and returns its new version.
+func (c *Client) Put(ctx context.Context, w Write) (int64, error) {
+	a := c.call(ctx, call{
+		method: http.MethodPut, path: objectPath(w.Kind, w.Name),
+		body: w.Value, write: true, expected: w.Expected, limit: maxValueBytes,
+	})
+	if a.err != nil {
+		return 0, a.err
+	}
+	version, err := parseVersion(a.header.Get("ETag"))
+	if err != nil {
+		return 0, a.fail(ErrUnknown, err)
+	}
+	return version, nil
+}
+
+// Delete removes the object if its version is the expected one.
+func (c *Client) Delete(ctx context.Context, kind, name string, expected int64) error {
+	a := c.call(ctx, call{
+		method: http.MethodDelete, path: objectPath(kind, name),
+		write: true, expected: expected, limit: maxValueBytes,
+	})
+	return a.err
+}
+
+// List reads all objects of a kind.
+func (c *Client) List(ctx context.Context, kind string) (Snapshot, error) {
+	a := c.call(ctx, call{method: http.MethodGet, path: "/v1/objects/" + url.PathEscape(kind), limit: maxListBytes})
+	return a.snapshot(kind)
+}
+
+// Watch waits up to the given time for changes of a kind after a store version; it is one long poll.
+// An empty snapshot means that nothing changed.
+func (c *Client) Watch(ctx context.Context, kind string, after int64, wait time.Duration) (Snapshot, error) {
+	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", url.PathEscape(kind), after, wait.Milliseconds())
+	a := c.call(ctx, call{method: http.MethodGet, path: path, limit: maxListBytes, extra: wait})
+	return a.snapshot(kind)
+}
+
+type call struct {
+	method   string
+	path     string
+	body     []byte
+	write    bool
+	expected int64
+	limit    int64
+	extra    time.Duration
+}
+
+type answer struct {
+	call   call
+	header http.Header
+	body   []byte
+	err    error
+}
+
+// call runs one HTTP exchange. Go's transport repeats only GET here: a PUT or DELETE without an
+// Idempotency-Key header is repeated only where nothing of it was written to the connection.
+func (c *Client) call(ctx context.Context, k call) answer {
+	a := answer{call: k}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+k.extra)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, bytes.NewReader(k.body))
+	if err != nil {
+		a.err = a.fail(ErrRejected, err)
+		return a
+	}
+	if k.write {
+		setCondition(req.Header, k)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		a.err = a.fail(a.lost(connected.Load()), err)
+		return a
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := readBounded(res.Body, k.limit)
+	a.header, a.body = res.Header, body
+	if res.StatusCode >= http.StatusMultipleChoices {
+		a.err = a.refused(res)
+		return a
+	}
+	if err != nil {
+		a.err = a.fail(a.lost(true), err)
+	}
+	return a
+}
+
+func setCondition(h http.Header, k call) {
+	if k.method == http.MethodPut && k.expected == 0 {
+		h.Set("If-None-Match", "*")
+		return
+	}
+	h.Set("If-Match", formatVersion(k.expected))
+}
+
+// lost returns the kind of a failure without a whole answer. A read has no effect to be unsure of.
+func (a *answer) lost(sent bool) error {
+	if a.call.write && sent {
+		return ErrUnknown
+	}
+	return ErrUnavailable
+}
+
+func (a *answer) refused(res *http.Response) error {
+	cause := fmt.Errorf("status %d", res.StatusCode)
+	e := a.fail(ErrRejected, cause)
+	switch res.StatusCode {
+	case http.StatusPreconditionFailed:
+		e.kind = ErrConflict
+		if v, err := parseVersion(res.Header.Get("ETag")); err == nil {
+			e.current = v
+		}
+	case http.StatusNotFound:
+		e.kind = ErrNotFound
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		e.kind = ErrUnavailable
+		if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && s > 0 {
+			e.retryAfter = time.Duration(s) * time.Second
+		}
+	default:
+		if res.StatusCode >= http.StatusInternalServerError || res.StatusCode < http.StatusBadRequest {
+			e.kind = a.lost(true)
+		}
+	}
+	return e
+}
+
+func (a *answer) fail(kind, cause error) *Error {
+	return &Error{kind: kind, operation: a.call.method, object: a.call.path, current: -1, cause: cause}
+}
+
+type wireSnapshot struct {
+	Version *int64       `json:"version"`
+	Objects []wireObject `json:"objects"`
+	Reset   bool         `json:"reset"`
+}
+
+type wireObject struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+	Value   []byte `json:"value"`
+	Deleted bool   `json:"deleted"`
+}
+
+func (a *answer) snapshot(kind string) (Snapshot, error) {
+	if a.err != nil {
+		return Snapshot{}, a.err
+	}
+	var w wireSnapshot
+	if err := json.Unmarshal(a.body, &w); err != nil {
+		return Snapshot{}, a.fail(ErrUnavailable, err)
+	}
+	if w.Version == nil {
+		return Snapshot{}, a.fail(ErrUnavailable, errors.New("answer without a store version"))
+	}
+	s := Snapshot{version: *w.Version, reset: w.Reset, objects: make([]Object, len(w.Objects))}
+	for i, o := range w.Objects {
+		if o.Name == "" || o.Version <= 0 {
+			return Snapshot{}, a.fail(ErrUnavailable, errors.New("object without a name or version"))
+		}
+		s.objects[i] = Object{kind: kind, name: o.Name, version: o.Version, value: o.Value, deleted: o.Deleted}
+	}
+	return s, nil
+}
+
+func readBounded(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("answer over %d bytes", limit)
+	}
+	return body, nil
+}
+
+func objectPath(kind, name string) string {
+	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func formatVersion(v int64) string { return `"` + strconv.FormatInt(v, 10) + `"` }
+
+func parseVersion(s string) (int64, error) {
+	v, err := strconv.ParseInt(strings.Trim(s, `"`), 10, 64)
+	if err != nil || v < 0 {
+		return 0, fmt.Errorf("bad version %q", s)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/standin/engine/faults.go
@@ -0,0 +1,113 @@
+package engine
+
+import (
+	"sync"
+	"time"
+)
+
+// FaultKind names what goes wrong.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	// Silent mutes all open connections for good; with New also those made until the faults are cleared.
+	Silent FaultKind = "silent"
+	// Slow delays every execution by DelayMS.
+	Slow FaultKind = "slow"
+	// Duplicate sends a token twice.
+	Duplicate FaultKind = "duplicate"
+	// Reorder sends a token after the next one.
+	Reorder FaultKind = "reorder"
+	// Foreign sends a token of another stream before the right one.
+	Foreign FaultKind = "foreign"
+	// Gap leaves the last layer range out of a receipt.
+	Gap FaultKind = "gap"
+	// Stale sends a token of the attempt before.
+	Stale FaultKind = "stale"
+	// Skip leaves a position out.
+	Skip FaultKind = "skip"
+	// Reset breaks the connection instead of sending a token.
+	Reset FaultKind = "reset"
+)
+
+// Fault is one fault to inject into tokens of streams that start at this engine.
+type Fault struct {
+	Fault FaultKind `json:"fault"`
+	// Count is the number of tokens to disturb; zero means all until the faults are cleared.
+	Count int `json:"count"`
+	// Stream limits the fault to one stream.
+	Stream string `json:"stream"`
+	// Position is the first position to disturb.
+	Position int  `json:"position"`
+	DelayMS  int  `json:"delay_ms"`
+	New      bool `json:"new"`
+}
+
+type faultList struct {
+	mu     sync.Mutex
+	faults []*Fault
+}
+
+func (l *faultList) add(f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = append(l.faults, &f)
+}
+
+func (l *faultList) clear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = nil
+}
+
+func (l *faultList) list() []Fault {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Fault, len(l.faults))
+	for i, f := range l.faults {
+		out[i] = *f
+	}
+	return out
+}
+
+// take returns the first token fault that applies, and counts it down.
+func (l *faultList) take(stream string, position int) FaultKind {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, f := range l.faults {
+		if f.Fault == Silent || f.Fault == Slow || position < f.Position || (f.Stream != "" && f.Stream != stream) {
+			continue
+		}
+		if f.Count > 0 {
+			f.Count--
+			if f.Count == 0 {
+				l.faults = append(l.faults[:i:i], l.faults[i+1:]...)
+			}
+		}
+		return f.Fault
+	}
+	return ""
+}
+
+func (l *faultList) delay(stream string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var d time.Duration
+	for _, f := range l.faults {
+		if f.Fault == Slow && (f.Stream == "" || f.Stream == stream) {
+			d += time.Duration(f.DelayMS) * time.Millisecond
+		}
+	}
+	return d
+}
+
+func (l *faultList) muteNew() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, f := range l.faults {
+		if f.Fault == Silent && f.New {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,170 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"waxwingplank/internal/endpoint/engine"
+)
+
+// Order is an order that reached the engine.
+type Order struct {
+	Order   string `json:"order"`
+	Fence   int64  `json:"fence"`
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Adapter string `json:"adapter,omitempty"`
+	Role    string `json:"role,omitempty"`
+	Layers  [2]int `json:"layers"`
+	// Refused is set for an order with an old fencing token on an engine that checks it.
+	Refused bool `json:"refused"`
+	// Stale is set for an order with an old fencing token that the engine followed.
+	Stale bool `json:"stale"`
+}
+
+// Orders returns the orders in the order of their arrival.
+func (s *Server) Orders() []Order {
+	s.recorder.mu.Lock()
+	defer s.recorder.mu.Unlock()
+	return append([]Order{}, s.recorder.orders...)
+}
+
+// Holdings returns what the engine has loaded.
+func (s *Server) Holdings() []Holding {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.holdings)
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if !decode(w, r, &o) {
+		return
+	}
+	if !s.fenced(&o) {
+		refuse(w, http.StatusConflict, engine.OldFence, "fence "+strconv.FormatInt(o.Fence, 10))
+		return
+	}
+	// The work goes on when the sender's connection breaks, as it does on an engine.
+	if err := s.sleep(context.WithoutCancel(r.Context()), s.cfg.OrderTime); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.apply(o)
+	answer(w, struct{}{})
+}
+
+// fenced records the order and reports whether the engine follows it.
+func (s *Server) fenced(o *Order) bool {
+	s.mu.Lock()
+	old := o.Fence < s.fence
+	s.fence = max(s.fence, o.Fence)
+	s.mu.Unlock()
+	o.Refused = old && s.cfg.ChecksFencing
+	o.Stale = old && !s.cfg.ChecksFencing
+	s.recorder.mu.Lock()
+	defer s.recorder.mu.Unlock()
+	s.recorder.orders = append(s.recorder.orders, *o)
+	return !o.Refused
+}
+
+// apply brings about the end state: one range of layers for each model and version.
+func (s *Server) apply(o Order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.Kind == string(engine.OrderRole) {
+		s.role = o.Role
+		return
+	}
+	if o.Adapter != "" {
+		return
+	}
+	s.holdings = slices.DeleteFunc(slices.Clone(s.holdings), func(h Holding) bool {
+		return h.Model == o.Model && h.Version == o.Version
+	})
+	if o.Kind == string(engine.OrderLoad) {
+		s.holdings = append(s.holdings, Holding{Model: o.Model, Version: o.Version, Layers: o.Layers})
+	}
+}
+
+// handlePrefix starts a handle of exported KV cache; the address and the stream follow.
+const handlePrefix = "kv:"
+
+type cacheAnswer struct {
+	Content string `json:"content"`
+	UpTo    int    `json:"up_to"`
+	Layers  [2]int `json:"layers"`
+}
+
+// export offers the KV cache of a stream, as long as the engine keeps it.
+func (s *Server) export(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Attempt int `json:"attempt"`
+	}
+	if !decode(w, r, &in) {
+		return
+	}
+	id := streamID(r)
+	c, ok := s.cached(id)
+	if !ok || c.attempt != in.Attempt {
+		refuse(w, http.StatusNotFound, "unknown_stream", id)
+		return
+	}
+	answer(w, map[string]any{
+		"kv_handle": handlePrefix + s.address + "/" + id,
+		"bytes":     int64(c.upTo) * s.cfg.KVBytesPerToken,
+	})
+}
+
+func (s *Server) cached(id string) (session, bool) {
+	st := s.current()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	c := st.find(id)
+	if c == nil {
+		return session{}, false
+	}
+	return *c, true
+}
+
+func (s *Server) sendCache(w http.ResponseWriter, r *http.Request) {
+	c, ok := s.cached(streamID(r))
+	if !ok {
+		refuse(w, http.StatusNotFound, "unknown_stream", streamID(r))
+		return
+	}
+	answer(w, cacheAnswer{Content: strconv.FormatUint(c.content, 16), UpTo: c.upTo, Layers: c.layers})
+}
+
+// importCache reports whether the handle names a cache of this stage's layers that covers the position.
+func (s *Server) importCache(ctx context.Context, m prefillMessage, id uint64) bool {
+	address, stream, ok := strings.Cut(strings.TrimPrefix(m.KVHandle, handlePrefix), "/")
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.StageTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/kv/"+stream, nil)
+	if err != nil {
+		return false
+	}
+	res, err := s.next.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusOK {
+		return false
+	}
+	var c cacheAnswer
+	if err := json.Unmarshal(body, &c); err != nil {
+		return false
+	}
+	return c.Content == strconv.FormatUint(id, 16) && c.Layers == m.Route[0].Layers && c.UpTo >= m.Position
+}
