Test the clients against scripted faulty servers

Cause: the clients decide what is known about the effect of a call, and net/http repeats requests by itself, so each failure of the wire needs a case.

--- /dev/null
+++ b/internal/endpoint/plain/client_test.go
@@ -0,0 +1,142 @@
+package plain_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"waxwingplank/internal/endpoint/plain"
+	"waxwingplank/internal/standin/script"
+)
+
+func newClient() *plain.Client {
+	return plain.New(plain.Config{Timeout: 200 * time.Millisecond, MaxBodyBytes: 4096})
+}
+
+func describe(a plain.Answer, err error) string {
+	if err == nil {
+		return fmt.Sprintf("%d %s", a.Status(), a.Body())
+	}
+	var text string
+	kinds := []error{
+		plain.ErrUnreachable, plain.ErrTimeout, plain.ErrReset, plain.ErrTooLarge, plain.ErrCanceled, plain.ErrInvalid,
+	}
+	for _, k := range kinds {
+		if errors.Is(err, k) {
+			text += "error " + k.Error()
+		}
+	}
+	if plain.Sent(err) {
+		text += ", sent"
+	}
+	if plain.Completed(err) {
+		text += ", completed"
+	}
+	return text
+}
+
+func start(t *testing.T, text string) *script.Server {
+	t.Helper()
+	s := script.New(text)
+	is.New(t).NoErr(s.Start("127.0.0.1:0"))
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// The calls that net/http repeats by itself: each of them with a key, with and without a body.
+var repeated = []plain.Request{
+	{Method: http.MethodPost, Body: []byte(`{"lot":1}`)},
+	{Method: http.MethodPost},
+	{Method: http.MethodPut, Body: []byte(`{"lot":1}`)},
+	{Method: http.MethodDelete},
+	{Method: http.MethodGet},
+}
+
+// Guards against a lot code registered twice because a library or this client sent a call again, and
+// against the report "not run" for a call that may have run.
+func TestCallContract(t *testing.T) {
+	cases, err := script.ReadCases("testdata/calls.txtar")
+	is.New(t).NoErr(err)
+	for _, c := range cases {
+		for _, r := range repeated {
+			name := fmt.Sprintf("%s/%s of %d bytes", c.Name(), r.Method, len(r.Body))
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				server := start(t, c.Part("script"))
+				client := newClient()
+				defer client.Close()
+				r.Address, r.Path, r.IdempotencyKey = server.Address(), "/registrations", "1700000000-a"
+				if c.Part("warm") != "" {
+					// Pooled connections are the ones on which net/http repeats requests.
+					r.Repeatable = true
+					_, err := client.Call(context.Background(), r)
+					is.NoErr(err)
+				}
+				is.Equal(describe(client.Call(context.Background(), r))+"\n", c.Part("want"))
+				is.Equal(fmt.Sprintln(len(server.Requests())), c.Part("requests"))
+			})
+		}
+	}
+}
+
+// Guards against a non-repeatable call on an old connection, whose close would leave open whether it ran.
+func TestNonRepeatableCallsUseNewConnections(t *testing.T) {
+	is := is.New(t)
+	server := start(t, "request\nanswer 200 \"ok\"\nstall")
+	client := newClient()
+	defer client.Close()
+	for _, repeatable := range []bool{true, false, false} {
+		_, err := client.Call(context.Background(), plain.Request{
+			Address: server.Address(), Method: http.MethodPost, Path: "/registrations", Repeatable: repeatable,
+		})
+		is.NoErr(err)
+	}
+	is.Equal(server.Connections(), 3)
+}
+
+// Guards against losing the key or the caller's headers, and against headers of another connection.
+func TestRequestOnTheWire(t *testing.T) {
+	is := is.New(t)
+	server := start(t, "request\nanswer 200 \"ok\"")
+	client := newClient()
+	defer client.Close()
+	_, err := client.Call(context.Background(), plain.Request{
+		Address: server.Address(), Method: http.MethodPost, Path: "/registrations/a%2Fb?x=1",
+		Header: http.Header{"Content-Type": {"text/lot"}, "Expect": {"100-continue"}, "Te": {"trailers"}},
+		Body:   []byte("lot"), IdempotencyKey: "1700000000-a",
+	})
+	is.NoErr(err)
+	got := server.Requests()[0]
+	for _, want := range []string{
+		"POST /registrations/a%2Fb?x=1 HTTP/1.1", "Idempotency-Key: 1700000000-a", "Content-Type: text/lot", "\r\n\r\nlot",
+	} {
+		is.True(strings.Contains(got, want))
+	}
+	is.True(!strings.Contains(got, "Expect") && !strings.Contains(got, "Te:"))
+}
+
+// Guards against reporting "may have run" where no byte was sent.
+func TestCallNotSent(t *testing.T) {
+	is := is.New(t)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	client := newClient()
+	r := plain.Request{Address: address, Method: http.MethodPost, Path: "/registrations"}
+	is.Equal(describe(client.Call(context.Background(), r)), "error service unreachable")
+	r.Path = "registrations"
+	is.Equal(describe(client.Call(context.Background(), r)), "error invalid request")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r.Path = "/registrations"
+	is.Equal(describe(client.Call(ctx, r)), "error canceled by the caller")
+}
--- /dev/null
+++ b/internal/standin/script/cases.go
@@ -0,0 +1,40 @@
+package script
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/txtar"
+)
+
+// Case is one row of a table of cases: the files NAME/PART of a txtar archive.
+type Case struct {
+	name  string
+	parts map[string]string
+}
+
+// Name returns the name of the case.
+func (c Case) Name() string { return c.name }
+
+// Part returns one file of the case, or an empty string.
+func (c Case) Part(name string) string { return c.parts[name] }
+
+// ReadCases reads a table of cases, in the order of the file.
+func ReadCases(path string) ([]Case, error) {
+	archive, err := txtar.ParseFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read cases: %w", err)
+	}
+	var cases []Case
+	for _, f := range archive.Files {
+		name, part, ok := strings.Cut(f.Name, "/")
+		if !ok {
+			return nil, fmt.Errorf("read cases: %s: file %q is not NAME/PART", path, f.Name)
+		}
+		if len(cases) == 0 || cases[len(cases)-1].name != name {
+			cases = append(cases, Case{name: name, parts: map[string]string{}})
+		}
+		cases[len(cases)-1].parts[part] = string(f.Data)
+	}
+	return cases, nil
+}
