--- a/internal/standin/engine/streams.go
+++ b/internal/standin/engine/streams.go
@@ -65,10 +65,6 @@
 		return
 	}
 	st := s.current()
-	if m.KVHandle == "" && m.Position > len(m.Generated) && !st.keeps(m.Stream, m.Position) {
-		refuse(w, http.StatusNotFound, "unknown_stream", m.Stream)
-		return
-	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	if !st.begin(m.Stream, opened{attempt: m.Attempt, cancel: cancel}) {
@@ -76,6 +72,10 @@
 		return
 	}
 	defer st.leave(m.Stream, m.Attempt)
+	if m.KVHandle == "" && m.Position > len(m.Generated) && !st.keeps(m.Stream, m.Position) {
+		refuse(w, http.StatusNotFound, "unknown_stream", m.Stream)
+		return
+	}
 	slot, ok := st.acquire(m.Priority)
 	if !ok {
 		refuse(w, http.StatusTooManyRequests, "queue_full", m.Stream)
