Avoid pooled connections that may have gone silent

Cause: open connections can go silent for good while new ones work. A pool of such connections cost one timeout for each of its members.

A stand-in stage does the same towards the next stage.

Figures: with two idle connections gone silent the second call after the fault now succeeds (tests TestSilentConnectionsAreNotReused).

Conclusion: one call pays for a silent pool.

--- a/internal/endpoint/engine/client.go
+++ b/internal/endpoint/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +28,8 @@
 	maxAnswerBytes = 1 << 20
 	// maxIdleConnections keeps connections for the streams that one host opens at one engine in a burst.
 	maxIdleConnections = 16
+	// idleTimeout bounds how long a pooled connection that went silent can still be chosen.
+	idleTimeout = 30 * time.Second
 )
 
 // Config describes a Client.
@@ -43,7 +47,10 @@
 	progress time.Duration
 	order    time.Duration
 	maxLine  int
-	http     *http.Client
+	pooled   *http.Client
+	fresh    *http.Client
+	// silent holds, by address, when a connection went silent.
+	silent sync.Map
 }
 
 // defaultOrderTimeout is the longest order that the lease takeover waits for.
@@ -60,25 +67,57 @@
 	if cfg.MaxLineBytes <= 0 {
 		cfg.MaxLineBytes = defaultMaxLineBytes
 	}
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: cfg.ProgressDeadline}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}
 	return &Client{
 		progress: cfg.ProgressDeadline,
 		order:    cfg.OrderTimeout,
 		maxLine:  cfg.MaxLineBytes,
-		http: &http.Client{
-			Transport:     transport,
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		pooled:   newHTTPClient(cfg, false),
+		fresh:    newHTTPClient(cfg, true),
+	}
+}
+
+func newHTTPClient(cfg Config, fresh bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: cfg.ProgressDeadline}).DialContext,
+			DisableKeepAlives:   fresh,
+			MaxIdleConnsPerHost: maxIdleConnections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
 		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.pooled.CloseIdleConnections() }
+
+// client returns the pooled connections unless one of the address went silent within the time that
+// others of the same age may be idle: each of those would cost one more stream its progress deadline.
+func (c *Client) client(address string) *http.Client {
+	at, ok := c.silent.Load(address)
+	if !ok {
+		return c.pooled
+	}
+	if time.Since(at.(time.Time)) < idleTimeout {
+		return c.fresh
+	}
+	c.silent.Delete(address)
+	return c.pooled
+}
+
+// failed names the reason of a failure and remembers silent addresses.
+func (c *Client) failed(ctx context.Context, p *progress, operation, address string, sent bool, err error) *Error {
+	e := classify(ctx, p, operation, address, sent, err)
+	c.remember(e)
+	return e
+}
+
+func (c *Client) remember(e *Error) {
+	if errors.Is(e, ErrSilent) {
+		c.silent.Store(e.address, time.Now())
+	}
+}
 
 // Open starts or resumes a stream at the first stage of its route. It returns once the engine has
 // accepted the stream, which may still wait in the engine's queue.
@@ -97,7 +136,7 @@
 	p.disarm()
 	if err != nil {
 		cancel()
-		return nil, classify(ctx, p, "open", address, sent, err)
+		return nil, c.failed(ctx, p, "open", address, sent, err)
 	}
 	if res.StatusCode != http.StatusOK {
 		p.arm()
@@ -106,7 +145,9 @@
 		cancel()
 		return nil, err
 	}
-	return newStream(ctx, address, res, c.maxLine, p), nil
+	s := newStream(ctx, address, res, c.maxLine, p)
+	s.failed = c.remember
+	return s, nil
 }
 
 // Cancel ends a stream on every stage, up to the given attempt.
@@ -143,7 +184,7 @@
 	defer p.disarm()
 	res, sent, err := c.do(callCtx, x.method, x.address, x.path, body)
 	if err != nil {
-		return classify(ctx, p, x.operation, x.address, sent, err)
+		return c.failed(ctx, p, x.operation, x.address, sent, err)
 	}
 	if res.StatusCode >= http.StatusMultipleChoices {
 		return refusal(x.operation, x.address, res)
@@ -151,7 +192,7 @@
 	defer func() { _ = res.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	if err != nil {
-		return classify(ctx, p, x.operation, x.address, true, err)
+		return c.failed(ctx, p, x.operation, x.address, true, err)
 	}
 	if len(answer) > maxAnswerBytes {
 		err = fmt.Errorf("answer over %d bytes", maxAnswerBytes)
@@ -178,7 +219,7 @@
 	if len(body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	res, err := c.http.Do(req)
+	res, err := c.client(address).Do(req)
 	return res, connected.Load(), err
 }
 
--- a/internal/endpoint/engine/stream.go
+++ b/internal/endpoint/engine/stream.go
@@ -25,6 +25,7 @@
 	maxLine  int
 	progress *progress
 	ctx      context.Context // The caller's context, kept to tell its end from a broken connection.
+	failed   func(*Error)    // Tells the client, so that it avoids connections of a silent address.
 	err      error
 }
 
@@ -135,7 +136,9 @@
 }
 
 func (s *Stream) end(err error) error {
-	s.err = classify(s.ctx, s.progress, "stream", s.address, true, err)
+	e := classify(s.ctx, s.progress, "stream", s.address, true, err)
+	s.failed(e)
+	s.err = e
 	_ = s.Close()
 	return s.err
 }
--- a/internal/endpoint/engine/stream_test.go
+++ b/internal/endpoint/engine/stream_test.go
@@ -187,3 +187,29 @@
 	}
 	_ = s.Close()
 }
+
+// Guards against a pool of connections that went silent together: each would cost one stream its
+// progress deadline although new connections work.
+func TestSilentConnectionsAreNotReused(t *testing.T) {
+	is := is.New(t)
+	old := "connection\nrequest\nwait 50\nanswer 200 \"{\\\"endpoint\\\":\\\"e1\\\"}\"\nrequest\nstall\n"
+	server := script.New(old + old + "connection\nrequest\nanswer 200 \"{\\\"endpoint\\\":\\\"e2\\\"}\"\n")
+	is.NoErr(server.Start("127.0.0.1:0"))
+	defer func() { _ = server.Close() }()
+	client := engine.New(testConfig)
+	defer client.Close()
+	first := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, err := client.Describe(context.Background(), server.Address())
+			first <- err
+		}()
+	}
+	is.NoErr(<-first)
+	is.NoErr(<-first)
+	_, err := client.Describe(context.Background(), server.Address())
+	is.True(errors.Is(err, engine.ErrSilent))
+	d, err := client.Describe(context.Background(), server.Address())
+	is.NoErr(err)
+	is.Equal(string(d.Endpoint()), "e2")
+}
--- a/internal/endpoint/plain/client.go
+++ b/internal/endpoint/plain/client.go
@@ -129,11 +129,13 @@
 	res, err := client.Do(req)
 	if err != nil {
 		sent := connected.Load()
+		c.distrustIdle(ctx)
 		return Answer{}, &Error{kind: kindOf(ctx, sent, err), target: target, sent: sent, cause: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxBody+1))
 	if err != nil {
+		c.distrustIdle(ctx)
 		return Answer{}, &Error{kind: kindOf(ctx, true, err), target: target, sent: true, status: res.StatusCode, cause: err}
 	}
 	if int64(len(body)) > c.maxBody {
@@ -143,6 +145,14 @@
 	return Answer{status: res.StatusCode, header: res.Header, body: body}, nil
 }
 
+// distrustIdle closes the idle connections after a timeout. They may have gone silent together with
+// the one that was used, and each of them would cost one more lookup its timeout.
+func (c *Client) distrustIdle(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.pooled.CloseIdleConnections()
+	}
+}
+
 // onceBody hides the type of its reader from net/http, so that the request gets no GetBody. Without
 // GetBody the transport cannot send the body again on another connection, as it otherwise does for
 // idempotent methods and for requests with an Idempotency-Key. An empty body is wrapped too, because
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -155,6 +155,7 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
+		c.distrustIdle(ctx)
 		a.err = a.fail(a.lost(connected.Load()), err)
 		return a
 	}
@@ -166,11 +167,20 @@
 		return a
 	}
 	if err != nil {
+		c.distrustIdle(ctx)
 		a.err = a.fail(a.lost(true), err)
 	}
 	return a
 }
 
+// distrustIdle closes the idle connections after a timeout. They may have gone silent together with
+// the one that was used, and each of them would cost one more call its timeout.
+func (c *Client) distrustIdle(ctx context.Context) {
+	if ctx.Err() != nil {
+		c.http.CloseIdleConnections()
+	}
+}
+
 func setCondition(h http.Header, k call) {
 	if k.method == http.MethodPut && k.expected == 0 {
 		h.Set("If-None-Match", "*")
--- a/internal/platform/objectapi/client_test.go
+++ b/internal/platform/objectapi/client_test.go
@@ -145,3 +145,23 @@
 	client := objectapi.New(objectapi.Config{Address: address})
 	is.Equal(call(client, "put"), "error object API unavailable")
 }
+
+// Guards against a pool of connections that went silent together: each would cost one write its
+// timeout although new connections work.
+func TestSilentConnectionsAreNotReused(t *testing.T) {
+	is := is.New(t)
+	old := "connection\nrequest\nwait 50\nanswer 200 \"old\" \"ETag: 7\"\nrequest\nstall\n"
+	server := script.New(old + old + "connection\nrequest\nanswer 200 \"new\" \"ETag: 8\"\n")
+	is.NoErr(server.Start("127.0.0.1:0"))
+	defer func() { _ = server.Close() }()
+	client := objectapi.New(objectapi.Config{Address: server.Address(), Timeout: 200 * time.Millisecond})
+	defer client.Close()
+	first := make(chan string, 2)
+	for range 2 {
+		go func() { first <- call(client, "get") }()
+	}
+	is.Equal(<-first, "version 7 old")
+	is.Equal(<-first, "version 7 old")
+	is.Equal(call(client, "put"), "error "+objectapi.ErrUnknown.Error())
+	is.Equal(call(client, "get"), "version 8 new")
+}
--- a/internal/platform/weightstore/client.go
+++ b/internal/platform/weightstore/client.go
@@ -29,14 +29,15 @@
 	http *http.Client
 }
 
-// New returns a client.
+// New returns a client. It makes a connection for each call, since calls are seconds apart and an old
+// connection may have gone silent.
 func New(cfg Config) *Client {
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = defaultTimeout
 	}
 	return &Client{
 		url:  "http://" + cfg.Address + "/v1/limits",
-		http: &http.Client{Timeout: cfg.Timeout, Transport: &http.Transport{}},
+		http: &http.Client{Timeout: cfg.Timeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 }
 
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -302,3 +302,35 @@
 	is.Equal(events[1].Sequence(), uint64(3))
 	is.Equal(events[0].PrefixHash(), client.PrefixHashes(r.Prompt)[0])
 }
+
+// Guards against tokens that reach another stream when many run at once over the same stages.
+func TestManyStreamsAtOnce(t *testing.T) {
+	is := is.New(t)
+	many := func(c *engine.Config) { c.Slots = 16 }
+	a, b := start(t, 0, 8, many), start(t, 8, 24, many)
+	c := client.New(client.Config{})
+	defer c.Close()
+	results := make(chan string)
+	const streams = 64
+	for i := range streams {
+		go func() {
+			r := request(fmt.Sprintf("s%d", i), 1, stage(a, 0, 8), stage(b, 8, 24))
+			r.Prompt = fmt.Sprintf("lot %d", i)
+			s, err := c.Open(context.Background(), r)
+			var got, expected string
+			for position := 0; err == nil; {
+				var e client.Event
+				e, err = s.Next()
+				if token, ok := e.(client.Token); ok {
+					got += token.Text()
+					expected += engine.Text(model, version, r.Prompt, position)
+					position++
+				}
+			}
+			results <- fmt.Sprint(got == expected, strings.Count(got, " "), err)
+		}()
+	}
+	for range streams {
+		is.Equal(<-results, "true 8 EOF")
+	}
+}
--- a/internal/standin/engine/stages.go
+++ b/internal/standin/engine/stages.go
@@ -239,12 +239,12 @@
 	}
 	res, err := s.next.Do(req)
 	if err != nil {
-		return lost(ctx, to, err)
+		return s.lost(ctx, to, err)
 	}
 	defer func() { _ = res.Body.Close() }()
 	answer, err := io.ReadAll(res.Body)
 	if err != nil {
-		return lost(ctx, to, err)
+		return s.lost(ctx, to, err)
 	}
 	if res.StatusCode != http.StatusOK {
 		var e stageError
@@ -259,8 +259,10 @@
 	return json.Unmarshal(answer, out)
 }
 
-func lost(ctx context.Context, to stage, err error) error {
+func (s *Server) lost(ctx context.Context, to stage, err error) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// The other idle connections may have gone silent together with this one.
+		s.next.CloseIdleConnections()
 		return &stageError{Code: "stage_silent", Message: err.Error(), Stage: to.Endpoint}
 	}
 	if ctx.Err() != nil {
