Test that a stand-in engine forgets a broken stream

Cause: recovery by regeneration is reached only where an engine has dropped the stream, so tests need the stand-in to drop it on time.

Change: add a test that the kept stream expires and is then unknown.

--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -334,3 +334,24 @@
 		is.Equal(<-results, "true 8 EOF")
 	}
 }
+
+// Guards against a broken stream that an engine keeps for good, which no test of regeneration could reach.
+func TestBrokenStreamExpires(t *testing.T) {
+	is := is.New(t)
+	a := start(t, 0, 24, func(c *engine.Config) { c.KeepBroken, c.Step = 300*time.Millisecond, 10*time.Millisecond })
+	c := client.New(client.Config{})
+	defer c.Close()
+	r := request("s1", 1, stage(a, 0, 24))
+	r.MaxTokens = 1000
+	interrupt(t, c, r)
+	r.Attempt, r.Position = 2, 2
+	end := ""
+	waitFor(func() bool {
+		_, err := c.Export(context.Background(), a.Address(), "s1", 1)
+		end = client.Code(err)
+		return end != ""
+	})
+	is.Equal(end, "unknown_stream")
+	_, end = read(t, c, r)
+	is.True(strings.Contains(end, "unknown_stream"))
+}
