--- /dev/null
+++ b/internal/daemon/credentials/watch.go
@@ -0,0 +1,75 @@
+package credentials
+
+import (
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// checkEvery bounds the time until a replaced file is in use; it also bounds the file-system calls.
+const checkEvery = 5 * time.Second
+
+// reloader keeps a value made from files and makes it again when a file changes.
+type reloader[T any] struct {
+	paths []string
+	load  func() (T, error)
+	now   func() time.Time
+
+	mu      sync.Mutex
+	value   T
+	stamp   string
+	checked time.Time
+	err     error
+}
+
+func newReloader[T any](paths []string, load func() (T, error), now func() time.Time) (*reloader[T], error) {
+	r := &reloader[T]{paths: paths, load: load, now: now, checked: now()}
+	stamp, err := r.stampFiles()
+	if err != nil {
+		return nil, eris.Wrap(err, "credentials.newReloader")
+	}
+	if r.value, err = load(); err != nil {
+		return nil, eris.Wrap(err, "credentials.newReloader")
+	}
+	r.stamp = stamp
+	return r, nil
+}
+
+// get returns the value; a file that can't be read keeps the last good value in use.
+func (r *reloader[T]) get() T {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	if now.Sub(r.checked) < checkEvery {
+		return r.value
+	}
+	r.checked = now
+	stamp, err := r.stampFiles()
+	if err != nil {
+		r.err = err
+		return r.value
+	}
+	if stamp == r.stamp {
+		return r.value
+	}
+	value, err := r.load()
+	r.err = err
+	if err == nil {
+		r.value, r.stamp = value, stamp
+	}
+	return r.value
+}
+
+func (r *reloader[T]) stampFiles() (string, error) {
+	stamp := ""
+	for _, path := range r.paths {
+		info, err := os.Stat(path)
+		if err != nil {
+			return "", err
+		}
+		stamp += info.ModTime().String() + "/"
+	}
+	return stamp, nil
+}
--- a/internal/ingress/caller/backend.go
+++ b/internal/ingress/caller/backend.go
@@ -72,7 +72,7 @@
 	// Addresses returns the hosts to use for the service, best first, and how long to keep them.
 	Addresses(ctx context.Context, service table.ServiceID) ([]Address, time.Duration, error)
 	// Workspace returns the workspace that the credentials allow; name is the one asked for.
-	Workspace(token, name string) (table.WorkspaceID, error)
+	Workspace(token, name string, firstSend bool) (table.WorkspaceID, error)
 	Stream(ctx context.Context, req StreamRequest, sink Sink) error
 	Call(ctx context.Context, req CallRequest) (CallAnswer, error)
 	// PassOn returns the host that should serve the request instead of this one, if any.
--- a/internal/ingress/caller/caller.go
+++ b/internal/ingress/caller/caller.go
@@ -110,7 +110,7 @@
 		req.ID, req.Hops, req.Workspace = fwd.id, fwd.hops, fwd.workspace
 	} else {
 		req.ID = h.cfg.NewRequestID()
-		ws, err := h.cfg.Backend.Workspace(bearer(r), r.Header.Get(HeaderWorkspace))
+		ws, err := h.cfg.Backend.Workspace(bearer(r), r.Header.Get(HeaderWorkspace), req.FirstSend)
 		if err != nil {
 			return req, eris.Wrap(err, "caller.request")
 		}
