Add documents, the protocol between hosts and membership

Hosts had no shared view: no service documents, no list of live hosts, and no way to call each other.

Adds core/document (parse, check, diff, store), core/membership (heartbeats to two relays a failure domain, confirmation of dead hosts, unreachable domains, drain, address answers, generations in force), peer/host (drpc client and server), daemon/members and daemon/documents, and a driver of the core in simulated time. host.proto gains HeartbeatRequest.relay, since only relays are told the generations of each host, and HeartbeatReply.unreachable_domains, since reach is a verdict of the relays and not part of a host's record.

--- /dev/null
+++ b/internal/daemon/members/documents.go
@@ -0,0 +1,313 @@
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"waxwingplank/internal/core/document"
+	"waxwingplank/internal/core/membership"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/daemon/documents"
+	"waxwingplank/internal/peer/hostpb"
+)
+
+// adopt takes a document if it is newer than the one in force.
+func (m *Members) adopt(d document.Document, source string) {
+	m.adopting.Lock()
+	defer m.adopting.Unlock()
+	m.mu.Lock()
+	old, had := m.store.Get(d.Service())
+	ok := m.store.Adopt(d)
+	m.mu.Unlock()
+	if !ok {
+		return
+	}
+	log := m.cfg.Log.WithFields(fields{"service": d.Service(), "generation": d.Generation(), "source": source})
+	if had {
+		log = log.WithField("changes", document.Diff(old, d))
+	}
+	log.Info("document adopted")
+	for _, f := range m.listeners {
+		f(d)
+	}
+	m.post(membership.NewDocumentAdopted(string(d.Service()), d.Generation()))
+}
+
+// FetchDocuments returns the documents that the asking host lacks, as many as fit into one reply.
+func (m *Members) FetchDocuments(_ context.Context, in *hostpb.FetchDocumentsRequest) (*hostpb.FetchDocumentsReply, error) {
+	out := &hostpb.FetchDocumentsReply{}
+	size := 0
+	for _, d := range m.Documents() {
+		if g, ok := in.GetHave()[string(d.Service())]; ok && g >= d.Generation() {
+			continue
+		}
+		value, err := d.Canonical()
+		if err != nil {
+			return nil, err
+		}
+		if size += len(value); size > fetchBytes && len(out.GetDocuments()) > 0 {
+			break
+		}
+		out.Documents = append(out.Documents, &hostpb.Document{
+			Service: string(d.Service()), Generation: d.Generation(), Value: value,
+		})
+	}
+	return out, nil
+}
+
+// fetchDocuments asks until a reply brings nothing new.
+func (m *Members) fetchDocuments(d membership.FetchDocuments) {
+	err := m.fetchAll(d)
+	if err != nil {
+		m.cfg.Log.WithError(err).WithField("host", d.From()).Warn("fetching documents failed")
+	}
+	m.post(membership.NewFetchEnded(err == nil))
+}
+
+func (m *Members) fetchAll(d membership.FetchDocuments) error {
+	for {
+		m.mu.Lock()
+		have := m.store.Generations()
+		m.mu.Unlock()
+		reply, err := m.cfg.Peers.FetchDocuments(m.ctx, d.Address(), &hostpb.FetchDocumentsRequest{Have: have})
+		if err != nil {
+			return err
+		}
+		fresh := false
+		for _, w := range reply.GetDocuments() {
+			doc, err := document.Parse(w.GetValue())
+			if err != nil {
+				return eris.Wrapf(err, "members: document %s of %s", w.GetService(), d.From())
+			}
+			g, ok := have[string(doc.Service())]
+			fresh = fresh || !ok || doc.Generation() > g
+			m.adopt(doc, "peer "+string(d.From()))
+		}
+		if !fresh {
+			return nil
+		}
+	}
+}
+
+// watchDocuments watches the platform's documents while this host is the one of its failure domain
+// that does.
+func (m *Members) watchDocuments() {
+	var after int64
+	var listed time.Time
+	for m.ctx.Err() == nil {
+		if !m.watches() {
+			after = 0
+			m.sleep(roleEvery)
+			continue
+		}
+		var err error
+		if after == 0 || time.Since(listed) > listEvery {
+			listed = time.Now()
+			after, err = m.listDocuments()
+		} else {
+			after, err = m.watchOnce(after)
+		}
+		if err != nil {
+			m.cfg.Log.WithError(err).Warn("the object API gave no documents; those in force stay")
+			after = 0
+			m.sleep(retryEvery)
+		}
+	}
+}
+
+func (m *Members) watches() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.system.WatchesDocuments()
+}
+
+func (m *Members) watchOnce(after int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(m.ctx, watchTimeout)
+	defer cancel()
+	snapshot, err := m.cfg.Objects.Watch(ctx, documents.KindServices, after, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	lower := false
+	for _, o := range snapshot.Objects {
+		lower = m.takeObject(o) || lower
+	}
+	if snapshot.Reset || snapshot.Version < after || lower {
+		// The platform was restored to an older state, so only a listing tells what it has.
+		return 0, nil
+	}
+	return snapshot.Version, nil
+}
+
+// takeObject adopts the document of an object, and reports whether the object shows less than what
+// is in force.
+func (m *Members) takeObject(o documents.Object) (lower bool) {
+	if o.Deleted {
+		return true
+	}
+	d, err := document.Parse(o.Value)
+	if err != nil {
+		m.cfg.Log.WithError(err).WithField("service", o.Name).Error("the stored document is bad; the one in force stays")
+		return false
+	}
+	m.adopt(d, "object API")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held, ok := m.store.Get(d.Service())
+	return ok && held.Generation() > d.Generation()
+}
+
+// listDocuments reads all documents and writes those back that the platform has lost.
+func (m *Members) listDocuments() (int64, error) {
+	ctx, cancel := context.WithTimeout(m.ctx, watchTimeout)
+	defer cancel()
+	snapshot, err := m.cfg.Objects.List(ctx, documents.KindServices)
+	if err != nil {
+		return 0, err
+	}
+	shown := map[string]uint64{}
+	versions := map[string]int64{}
+	for _, o := range snapshot.Objects {
+		if o.Deleted {
+			continue
+		}
+		versions[o.Name] = o.Version
+		m.takeObject(o)
+		if d, err := document.Parse(o.Value); err == nil {
+			shown[o.Name] = d.Generation()
+		}
+	}
+	m.mu.Lock()
+	lost := m.store.Reverted(shown)
+	m.mu.Unlock()
+	for _, d := range lost {
+		if err := m.writeBack(d, versions[string(d.Service())]); err != nil {
+			return 0, err
+		}
+	}
+	return snapshot.Version, nil
+}
+
+// writeBack restores a document on the version that showed less. Where another host was faster,
+// the watch shows its write.
+func (m *Members) writeBack(d document.Document, version int64) error {
+	value, err := d.Canonical()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, writeTimeout)
+	defer cancel()
+	o := documents.Object{Kind: documents.KindServices, Name: string(d.Service()), Version: version, Value: value}
+	_, err = m.cfg.Objects.Put(ctx, o)
+	if errors.Is(err, documents.ErrConflict) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrapf(err, "members: write back document %s", d.Service())
+	}
+	m.cfg.Log.WithFields(fields{"service": d.Service(), "generation": d.Generation()}).
+		Warn("the platform showed an older document; the one in force was written back")
+	return nil
+}
+
+// Status is the value of the object status/NAME.
+type Status struct {
+	Service string `json:"service"`
+	// InForce is the minimum generation adopted by all hosts that can be reached.
+	InForce uint64 `json:"in_force"`
+	Newest  uint64 `json:"newest"`
+	// NotInForce names the hosts that have not adopted the newest generation, unreachable ones included.
+	NotInForce []table.HostID `json:"not_in_force"`
+	WrittenBy  table.HostID   `json:"written_by"`
+}
+
+// writeStatus writes the status of the documents that this host reports on.
+func (m *Members) writeStatus() {
+	for m.ctx.Err() == nil {
+		m.sleep(statusEvery)
+		for _, d := range m.takeStatus() {
+			if err := m.writeOneStatus(d); err != nil {
+				m.cfg.Log.WithError(err).WithField("service", d.Service()).Warn("status was not written; trying again")
+				m.keepStatus(d)
+			}
+		}
+	}
+}
+
+// takeStatus takes the changes to report. A change is also kept by hosts that do not report now,
+// because they may become the reporter before it is written.
+func (m *Members) takeStatus() []membership.InForceChanged {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []membership.InForceChanged
+	for service, d := range m.status {
+		if m.system.IsRelay() && m.system.Reporter(service) == m.cfg.Self.ID {
+			out = append(out, d)
+			delete(m.status, service)
+		}
+	}
+	return out
+}
+
+func (m *Members) keepStatus(d membership.InForceChanged) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, newer := m.status[d.Service()]; !newer {
+		m.status[d.Service()] = d
+	}
+}
+
+func (m *Members) writeOneStatus(d membership.InForceChanged) error {
+	ctx, cancel := context.WithTimeout(m.ctx, writeTimeout)
+	defer cancel()
+	behind := d.Behind()
+	if behind == nil {
+		behind = []table.HostID{}
+	}
+	value, err := json.Marshal(Status{
+		Service: d.Service(), InForce: d.Generation(), Newest: d.Newest(), NotInForce: behind, WrittenBy: m.cfg.Self.ID,
+	})
+	if err != nil {
+		return eris.Wrapf(err, "members: status of %s", d.Service())
+	}
+	old, err := m.cfg.Objects.Get(ctx, documents.KindStatus, d.Service())
+	if err != nil && !errors.Is(err, documents.ErrNotFound) {
+		return err
+	}
+	_, err = m.cfg.Objects.Put(ctx, documents.Object{Kind: documents.KindStatus, Name: d.Service(), Version: old.Version, Value: value})
+	return err
+}
+
+func (m *Members) readHostList() {
+	for m.ctx.Err() == nil {
+		m.mu.Lock()
+		reads := m.system.ReadsHostList()
+		m.mu.Unlock()
+		if !reads {
+			m.sleep(roleEvery)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(m.ctx, hostListTimeout)
+		hosts, err := m.cfg.HostList.List(ctx)
+		cancel()
+		if err != nil {
+			m.cfg.Log.WithError(err).Warn("the host list could not be read; the last known hosts stay")
+		} else {
+			m.post(membership.NewHostListRead(hosts))
+		}
+		m.sleep(hostListEvery)
+	}
+}
+
+func (m *Members) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-m.ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/peer/host/codec.go
@@ -0,0 +1,162 @@
+package host
+
+import (
+	"time"
+
+	"waxwingplank/internal/core/membership"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/peer/hostpb"
+)
+
+// MarkKind is the kind under which membership carries crash marks.
+const MarkKind = "mark"
+
+// markLifetime is how long a mark counts; the sender's age is taken off.
+const markLifetime = 10 * time.Minute
+
+// MarkPayload returns a crash mark as a payload. A cleared mark replaces the mark.
+func MarkPayload(m *hostpb.CrashMark, now time.Time) membership.Payload {
+	version := uint64(1)
+	if m.GetCleared() {
+		version = 2
+	}
+	return membership.Payload{
+		Kind:    MarkKind,
+		Key:     string(m.GetFingerprint()) + "\x00" + m.GetCrash(),
+		Version: version,
+		Value:   m,
+		Expires: now.Add(markLifetime - time.Duration(m.GetAgeMs())*time.Millisecond),
+	}
+}
+
+// recordToWire leaves out what the receiver has. The state is empty for a live host and the load is
+// one higher, so that 0 means not given.
+func recordToWire(r membership.Record) *hostpb.HostState {
+	state := ""
+	if r.State != membership.Live {
+		state = string(r.State)
+	}
+	return &hostpb.HostState{
+		Host:          string(r.ID),
+		Address:       r.Address,
+		PeerAddress:   r.PeerAddress,
+		FailureDomain: r.FailureDomain,
+		Region:        r.Region,
+		Incarnation:   r.Incarnation,
+		Sequence:      r.Sequence,
+		State:         state,
+		LoadPermille:  uint32(r.LoadPermille + 1),
+		Generations:   r.Generations,
+	}
+}
+
+func recordFromWire(w *hostpb.HostState) membership.Record {
+	state := membership.Live
+	switch s := membership.State(w.GetState()); s {
+	case membership.Leaving, membership.Dead, membership.Gone:
+		state = s
+	}
+	return membership.Record{
+		Host: membership.Host{
+			ID:            table.HostID(w.GetHost()),
+			Address:       w.GetAddress(),
+			PeerAddress:   w.GetPeerAddress(),
+			FailureDomain: w.GetFailureDomain(),
+			Region:        w.GetRegion(),
+		},
+		Incarnation:  w.GetIncarnation(),
+		Sequence:     w.GetSequence(),
+		State:        state,
+		LoadPermille: int(w.GetLoadPermille()) - 1,
+		Generations:  w.GetGenerations(),
+	}
+}
+
+func recordsToWire(list []membership.Record) []*hostpb.HostState {
+	out := make([]*hostpb.HostState, len(list))
+	for i, r := range list {
+		out[i] = recordToWire(r)
+	}
+	return out
+}
+
+func recordsFromWire(list []*hostpb.HostState) []membership.Record {
+	out := make([]membership.Record, len(list))
+	for i, w := range list {
+		out[i] = recordFromWire(w)
+	}
+	return out
+}
+
+func marksToWire(list []membership.Payload, now time.Time) []*hostpb.CrashMark {
+	var out []*hostpb.CrashMark
+	for _, p := range list {
+		m, ok := p.Value.(*hostpb.CrashMark)
+		if !ok || p.Kind != MarkKind {
+			continue
+		}
+		age := markLifetime - p.Expires.Sub(now)
+		out = append(out, &hostpb.CrashMark{
+			Fingerprint: m.GetFingerprint(), Crash: m.GetCrash(), Cleared: m.GetCleared(), AgeMs: age.Milliseconds(),
+		})
+	}
+	return out
+}
+
+func marksFromWire(list []*hostpb.CrashMark, now time.Time) []membership.Payload {
+	var out []membership.Payload
+	for _, m := range list {
+		out = append(out, MarkPayload(m, now))
+	}
+	return out
+}
+
+// HeartbeatToWire returns the message of a heartbeat.
+func HeartbeatToWire(h membership.Heartbeat, now time.Time) *hostpb.HeartbeatRequest {
+	return &hostpb.HeartbeatRequest{
+		Self:             recordToWire(h.Self),
+		After:            h.After,
+		RelayIncarnation: h.RelayIncarnation,
+		Relay:            h.Relay,
+		Hosts:            recordsToWire(h.Hosts),
+		Marks:            marksToWire(h.Payloads, now),
+	}
+}
+
+// HeartbeatFromWire returns the heartbeat in a message.
+func HeartbeatFromWire(w *hostpb.HeartbeatRequest, now time.Time) membership.Heartbeat {
+	return membership.Heartbeat{
+		Self:             recordFromWire(w.GetSelf()),
+		After:            w.GetAfter(),
+		RelayIncarnation: w.GetRelayIncarnation(),
+		Relay:            w.GetRelay(),
+		Hosts:            recordsFromWire(w.GetHosts()),
+		Payloads:         marksFromWire(w.GetMarks(), now),
+	}
+}
+
+// ReplyToWire returns the message of a reply.
+func ReplyToWire(r membership.Reply, now time.Time) *hostpb.HeartbeatReply {
+	return &hostpb.HeartbeatReply{
+		Self:               recordToWire(r.Self),
+		Upto:               r.Upto,
+		RelayIncarnation:   r.RelayIncarnation,
+		Hosts:              recordsToWire(r.Hosts),
+		Generations:        r.InForce,
+		UnreachableDomains: r.Unreachable,
+		Marks:              marksToWire(r.Payloads, now),
+	}
+}
+
+// ReplyFromWire returns the reply in a message.
+func ReplyFromWire(w *hostpb.HeartbeatReply, now time.Time) membership.Reply {
+	return membership.Reply{
+		Self:             recordFromWire(w.GetSelf()),
+		Upto:             w.GetUpto(),
+		RelayIncarnation: w.GetRelayIncarnation(),
+		Hosts:            recordsFromWire(w.GetHosts()),
+		InForce:          w.GetGenerations(),
+		Unreachable:      w.GetUnreachableDomains(),
+		Payloads:         marksFromWire(w.GetMarks(), now),
+	}
+}
--- /dev/null
+++ b/internal/peer/host/server.go
@@ -0,0 +1,196 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcerr"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"waxwingplank/internal/peer/hostpb"
+)
+
+// Handler answers the calls of other hosts.
+type Handler interface {
+	Heartbeat(context.Context, *hostpb.HeartbeatRequest) (*hostpb.HeartbeatReply, error)
+	Probe(context.Context, *hostpb.ProbeRequest) (*hostpb.ProbeReply, error)
+	FetchDocuments(context.Context, *hostpb.FetchDocumentsRequest) (*hostpb.FetchDocumentsReply, error)
+	SpreadMarks(context.Context, *hostpb.SpreadMarksRequest) (*hostpb.SpreadMarksReply, error)
+	Forward(context.Context, *hostpb.ForwardRequest, *Sink) error
+}
+
+// ServerConfig describes a Server.
+type ServerConfig struct {
+	Listener net.Listener
+	Handler  Handler
+	// TLS, where set, must ask for and verify client certificates.
+	TLS *tls.Config
+	// OnError is told about connections that ended with an error; it may be nil.
+	OnError func(error)
+}
+
+// Server answers the calls of other hosts on one listener.
+type Server struct {
+	cfg  ServerConfig
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// NewServer starts a server, which runs until Close.
+func NewServer(cfg ServerConfig) (*Server, error) {
+	mux := drpcmux.New()
+	if err := hostpb.DRPCRegisterPeers(mux, &adapter{handler: cfg.Handler}); err != nil {
+		return nil, eris.Wrap(err, "host.NewServer register")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Server{cfg: cfg, stop: stop, done: make(chan struct{})}
+	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions(), Log: cfg.OnError})
+	lis := net.Listener(deadlineListener{cfg.Listener})
+	if cfg.TLS != nil {
+		lis = tls.NewListener(lis, cfg.TLS)
+	}
+	go func() {
+		defer close(s.done)
+		if err := srv.Serve(ctx, lis); err != nil && cfg.OnError != nil {
+			cfg.OnError(eris.Wrap(err, "host.Server serve"))
+		}
+	}()
+	return s, nil
+}
+
+// Close stops accepting, ends the open connections and waits for their handlers.
+func (s *Server) Close() {
+	s.stop()
+	<-s.done
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		InactivityTimeout: idleTimeout,
+	}
+}
+
+type deadlineListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l deadlineListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return deadlineConn{Conn: c, timeout: writeTimeout}, nil
+}
+
+// adapter puts the typed handler behind the generated interface.
+type adapter struct{ handler Handler }
+
+// Heartbeat implements the generated interface.
+func (a *adapter) Heartbeat(ctx context.Context, in *hostpb.HeartbeatRequest) (*hostpb.HeartbeatReply, error) {
+	out, err := a.handler.Heartbeat(ctx, in)
+	return out, refused(err)
+}
+
+// Probe implements the generated interface.
+func (a *adapter) Probe(ctx context.Context, in *hostpb.ProbeRequest) (*hostpb.ProbeReply, error) {
+	out, err := a.handler.Probe(ctx, in)
+	return out, refused(err)
+}
+
+// FetchDocuments implements the generated interface.
+func (a *adapter) FetchDocuments(ctx context.Context, in *hostpb.FetchDocumentsRequest) (*hostpb.FetchDocumentsReply, error) {
+	out, err := a.handler.FetchDocuments(ctx, in)
+	return out, refused(err)
+}
+
+// SpreadMarks implements the generated interface.
+func (a *adapter) SpreadMarks(ctx context.Context, in *hostpb.SpreadMarksRequest) (*hostpb.SpreadMarksReply, error) {
+	out, err := a.handler.SpreadMarks(ctx, in)
+	return out, refused(err)
+}
+
+// Forward runs the handler and sends heartbeat parts beside it until it returns.
+func (a *adapter) Forward(in *hostpb.ForwardRequest, out hostpb.DRPCPeers_ForwardStream) error {
+	ctx, cancel := context.WithCancel(out.Context())
+	defer cancel()
+	sink := &Sink{out: out}
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		sink.heartbeat(ctx, cancel)
+	}()
+	err := a.handler.Forward(ctx, in, sink)
+	cancel()
+	wg.Wait()
+	return refused(err)
+}
+
+// handlerFailed is the code of errors of the handler, which tells them from a broken connection.
+const handlerFailed = 1
+
+func refused(err error) error {
+	if err == nil {
+		return nil
+	}
+	return drpcerr.WithCode(err, handlerFailed)
+}
+
+// Sink sends the parts of a forwarded answer.
+type Sink struct {
+	mu  sync.Mutex
+	out hostpb.DRPCPeers_ForwardStream
+}
+
+// Start sends the status and the headers; it must be called once, before Write.
+func (s *Sink) Start(status int, headers []*hostpb.Header) error {
+	return s.send(&hostpb.ForwardPart{Status: uint32(status), Headers: headers})
+}
+
+// maxPartBytes keeps a heartbeat part from waiting behind a long part.
+const maxPartBytes = 256 << 10
+
+// Write sends a part of the body.
+func (s *Sink) Write(body []byte) error {
+	for len(body) > 0 {
+		n := min(len(body), maxPartBytes)
+		if err := s.send(&hostpb.ForwardPart{Body: body[:n]}); err != nil {
+			return err
+		}
+		body = body[n:]
+	}
+	return nil
+}
+
+func (s *Sink) send(p *hostpb.ForwardPart) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.out.Send(p); err != nil {
+		return eris.Wrap(err, "host.Sink send")
+	}
+	return nil
+}
+
+// heartbeat sends empty parts and cancels the handler once the receiver has gone.
+func (s *Sink) heartbeat(ctx context.Context, gone context.CancelFunc) {
+	t := time.NewTicker(heartbeatEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			if err := s.send(&hostpb.ForwardPart{}); err != nil {
+				gone()
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/test/benchmembers/net.go
@@ -0,0 +1,387 @@
+package benchmembers
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"waxwingplank/internal/core/membership"
+	"waxwingplank/internal/core/table"
+)
+
+// The times of the message passing between hosts in one process.
+const (
+	stepLength  = 10 * time.Millisecond
+	tickLength  = 50 * time.Millisecond
+	latency     = time.Millisecond
+	callTimeout = 400 * time.Millisecond
+	// watchDelay is the time from an accepted write to the answer of a waiting watch.
+	watchDelay   = 50 * time.Millisecond
+	listInterval = time.Second
+)
+
+// NetConfig describes a Net.
+type NetConfig struct {
+	Hosts   int
+	Domains int
+	Regions int
+	Seed    uint64
+	// Carry, where set, replaces each message, for example by encoding and decoding it.
+	Carry Carry
+}
+
+// Carry passes messages on and may count them.
+type Carry interface {
+	Heartbeat(from, to table.HostID, h membership.Heartbeat, now time.Time) membership.Heartbeat
+	Reply(from, to table.HostID, r membership.Reply, now time.Time) membership.Reply
+}
+
+// Node is one host of a Net.
+type Node struct {
+	System *membership.System
+	Host   membership.Host
+	Docs   map[string]uint64
+	// Log holds the decisions that tests look at.
+	Log []Entry
+
+	up       bool
+	paused   time.Time
+	inbox    []membership.Event
+	nextTick time.Time
+	nextList time.Time
+	busy     time.Duration
+	ticks    int
+}
+
+// Entry is a decision and its time.
+type Entry struct {
+	At       time.Time
+	Decision membership.Decision
+}
+
+// Up reports whether the host's process runs.
+func (n *Node) Up() bool { return n.up }
+
+// Net passes messages between hosts in one process and in simulated time.
+type Net struct {
+	Now   time.Time
+	Nodes []*Node
+	// Loss is the part of messages that are lost.
+	Loss float64
+	// Cut reports whether two hosts cannot reach each other.
+	Cut func(a, b membership.Host) bool
+	// Platform holds the documents of the object API, and PlatformUp and ListUp say whether it and
+	// the host list answer.
+	Platform   map[string]uint64
+	PlatformUp bool
+	ListUp     bool
+	Leaving    map[table.HostID]bool
+	Unlisted   map[table.HostID]bool
+	// Calls counts the calls to the platform.
+	Calls int
+
+	cfg     NetConfig
+	rng     *rand.Rand
+	byID    map[table.HostID]*Node
+	queue   queue
+	order   int
+	calls   map[uint64]*pendingCall
+	next    uint64
+	changed time.Time
+}
+
+type pendingCall struct {
+	from, to *Node
+	done     bool
+	push     bool
+}
+
+type item struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type queue []item
+
+func (q queue) Len() int { return len(q) }
+
+func (q queue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].order < q[j].order
+}
+
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { *q = append(*q, x.(item)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+// NewNet returns a net whose hosts have all been started and know only the host list.
+func NewNet(cfg NetConfig) *Net {
+	n := &Net{
+		Now:        time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		Platform:   map[string]uint64{},
+		PlatformUp: true,
+		ListUp:     true,
+		Leaving:    map[table.HostID]bool{},
+		Unlisted:   map[table.HostID]bool{},
+		cfg:        cfg,
+		rng:        rand.New(rand.NewPCG(cfg.Seed, 1)),
+		byID:       map[table.HostID]*Node{},
+		calls:      map[uint64]*pendingCall{},
+	}
+	for i := range cfg.Hosts {
+		domain := i % cfg.Domains
+		h := membership.Host{
+			ID:            table.HostID(fmt.Sprintf("host-%03d", i)),
+			Address:       fmt.Sprintf("10.0.%d.%d:8080", domain, i),
+			PeerAddress:   fmt.Sprintf("10.0.%d.%d:8081", domain, i),
+			FailureDomain: fmt.Sprintf("domain-%02d", domain),
+			Region:        fmt.Sprintf("region-%d", domain%max(cfg.Regions, 1)),
+		}
+		node := &Node{Host: h}
+		n.Nodes = append(n.Nodes, node)
+		n.byID[h.ID] = node
+		n.Start(node)
+	}
+	return n
+}
+
+// Node returns the host with the name.
+func (n *Net) Node(id table.HostID) *Node { return n.byID[id] }
+
+// Start starts a host, which keeps nothing from an earlier run.
+func (n *Net) Start(node *Node, known ...membership.Host) {
+	s, err := membership.New(membership.Config{Self: node.Host, Incarnation: uint64(n.Now.UnixMilli()), Known: known})
+	if err != nil {
+		panic(err)
+	}
+	offset := time.Duration(n.rng.Int64N(int64(tickLength)))
+	node.System, node.Docs, node.Log = s, map[string]uint64{}, nil
+	node.up, node.inbox, node.paused = true, nil, time.Time{}
+	node.nextTick = n.Now.Add(offset)
+	node.nextList = node.nextTick
+}
+
+// Kill stops a host's machine: nothing answers at its address any more.
+func (n *Net) Kill(node *Node) { node.up = false }
+
+// Pause stops a host's process for a time; its events wait.
+func (n *Net) Pause(node *Node, d time.Duration) { node.paused = n.Now.Add(d) }
+
+// Post hands an event to a host.
+func (n *Net) Post(node *Node, e membership.Event) { node.inbox = append(node.inbox, e) }
+
+// Write stores a generation of a document on the platform.
+func (n *Net) Write(service string, generation uint64) {
+	n.Platform[service] = generation
+	n.changed = n.Now
+}
+
+// Run advances the time.
+func (n *Net) Run(d time.Duration) {
+	n.Until(d, func() bool { return false })
+}
+
+// Until advances the time until the condition holds, and reports whether it came to hold within d.
+func (n *Net) Until(d time.Duration, done func() bool) bool {
+	end := n.Now.Add(d)
+	for n.Now.Before(end) {
+		if done() {
+			return true
+		}
+		n.step()
+	}
+	return done()
+}
+
+func (n *Net) step() {
+	n.Now = n.Now.Add(stepLength)
+	for len(n.queue) > 0 && !n.queue[0].at.After(n.Now) {
+		x := heap.Pop(&n.queue).(item)
+		x.run()
+	}
+	for _, node := range n.Nodes {
+		if !n.runs(node) {
+			continue
+		}
+		if len(node.inbox) == 0 && n.Now.Before(node.nextTick) {
+			continue
+		}
+		n.tick(node)
+	}
+}
+
+func (n *Net) runs(node *Node) bool { return node.up && !n.Now.Before(node.paused) }
+
+func (n *Net) tick(node *Node) {
+	if !n.Now.Before(node.nextTick) {
+		node.nextTick = n.Now.Add(tickLength)
+		n.readPlatform(node)
+	}
+	events := node.inbox
+	node.inbox = nil
+	began := time.Now()
+	decisions := node.System.Tick(n.Now, events)
+	node.busy += time.Since(began)
+	node.ticks++
+	for _, d := range decisions {
+		n.carryOut(node, d)
+	}
+}
+
+func (n *Net) readPlatform(node *Node) {
+	if n.ListUp && node.System.ReadsHostList() && !n.Now.Before(node.nextList) {
+		node.nextList = n.Now.Add(listInterval)
+		n.Calls++
+		node.inbox = append(node.inbox, membership.NewHostListRead(n.list()))
+	}
+	if !n.PlatformUp || !node.System.WatchesDocuments() || n.Now.Sub(n.changed) < watchDelay {
+		return
+	}
+	for service, g := range n.Platform {
+		n.adopt(node, service, g)
+	}
+}
+
+func (n *Net) adopt(node *Node, service string, g uint64) {
+	if node.Docs[service] >= g {
+		return
+	}
+	node.Docs[service] = g
+	node.inbox = append(node.inbox, membership.NewDocumentAdopted(service, g))
+}
+
+func (n *Net) list() []membership.ListedHost {
+	var out []membership.ListedHost
+	for _, node := range n.Nodes {
+		if !n.Unlisted[node.Host.ID] {
+			out = append(out, membership.ListedHost{Host: node.Host, Leaving: n.Leaving[node.Host.ID]})
+		}
+	}
+	return out
+}
+
+func (n *Net) after(d time.Duration, run func()) {
+	n.order++
+	heap.Push(&n.queue, item{at: n.Now.Add(d), order: n.order, run: run})
+}
+
+// arrives reports whether a message from a to b arrives.
+func (n *Net) arrives(a, b *Node) bool {
+	if b == nil || !b.up || (n.Cut != nil && n.Cut(a.Host, b.Host)) {
+		return false
+	}
+	return n.Loss == 0 || n.rng.Float64() >= n.Loss
+}
+
+func (n *Net) carryOut(node *Node, d membership.Decision) {
+	switch d := d.(type) {
+	case membership.SendHeartbeat:
+		n.sendHeartbeat(node, d)
+	case membership.AnswerHeartbeat:
+		n.answer(node, d)
+	case membership.SendProbe:
+		n.probe(node, d)
+	case membership.FetchDocuments:
+		n.fetch(node, n.byID[d.From()])
+	default:
+		node.Log = append(node.Log, Entry{At: n.Now, Decision: d})
+	}
+}
+
+func (n *Net) sendHeartbeat(node *Node, d membership.SendHeartbeat) {
+	to := n.byID[d.To()]
+	n.next++
+	id := n.next
+	c := &pendingCall{from: node, to: to, push: d.Push()}
+	n.calls[id] = c
+	h := d.Heartbeat()
+	if n.cfg.Carry != nil {
+		h = n.cfg.Carry.Heartbeat(node.Host.ID, d.To(), h, n.Now)
+	}
+	if n.arrives(node, to) {
+		n.after(latency, func() { to.inbox = append(to.inbox, membership.NewHeartbeatReceived(id, h)) })
+	}
+	n.after(callTimeout, func() {
+		delete(n.calls, id)
+		if !c.done && !c.push {
+			node.inbox = append(node.inbox, membership.NewHeartbeatFailed(d.To()))
+		}
+		c.done = true
+	})
+}
+
+func (n *Net) answer(node *Node, d membership.AnswerHeartbeat) {
+	c := n.calls[d.Call()]
+	if c == nil || c.done {
+		return
+	}
+	r := d.Reply()
+	if n.cfg.Carry != nil {
+		r = n.cfg.Carry.Reply(node.Host.ID, c.from.Host.ID, r, n.Now)
+	}
+	if c.push || !n.arrives(node, c.from) {
+		return
+	}
+	n.after(latency, func() {
+		if !c.done {
+			c.done = true
+			c.from.inbox = append(c.from.inbox, membership.NewReplyReceived(node.Host.ID, r))
+		}
+	})
+}
+
+func (n *Net) probe(node *Node, d membership.SendProbe) {
+	target := n.byID[d.Target()]
+	answer := func(after time.Duration, answered, alive bool) {
+		n.after(after, func() {
+			node.inbox = append(node.inbox, membership.NewProbeAnswered(d.Target(), d.Prober(), answered, alive))
+		})
+	}
+	if d.Prober() == "" {
+		if n.roundTrip(node, target) {
+			answer(2*latency, true, true)
+		} else {
+			answer(callTimeout, false, false)
+		}
+		return
+	}
+	prober := n.byID[d.Prober()]
+	switch {
+	case !n.roundTrip(node, prober):
+		answer(callTimeout, false, false)
+	case n.roundTrip(prober, target):
+		answer(4*latency, true, true)
+	default:
+		answer(2*latency+membership.ProbeTimeout, true, false)
+	}
+}
+
+func (n *Net) roundTrip(a, b *Node) bool {
+	return n.arrives(a, b) && n.runs(b) && n.arrives(b, a)
+}
+
+func (n *Net) fetch(node, from *Node) {
+	if !n.roundTrip(node, from) {
+		n.after(callTimeout, func() { node.inbox = append(node.inbox, membership.NewFetchEnded(false)) })
+		return
+	}
+	n.after(2*latency, func() {
+		for service, g := range from.Docs {
+			n.adopt(node, service, g)
+		}
+		node.inbox = append(node.inbox, membership.NewFetchEnded(true))
+	})
+}
