Drive streams over engine attempts with receipts and sealed ids

A stage that dies, falls silent or sends wrong tokens must not cut off, repeat or alter an answer, and any host must be able to go on with it.

--- /dev/null
+++ b/internal/core/quarantine/system.go
@@ -0,0 +1,327 @@
+package quarantine
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"waxwingplank/internal/core/table"
+)
+
+const (
+	// The design page sets 10 min for marks and for the refusal.
+	defaultLifetime = 10 * time.Minute
+	// Two marks refuse: one crash can be bad luck, and each further try costs an endpoint.
+	refuseAt = 2
+	// An entry is about 200 bytes, so a full table takes 2 MB of the 32 MB of a host.
+	defaultMaxRequests = 10_000
+	// Three crashes without a common request are more than two unrelated crashing requests explain.
+	defaultSickCrashes = 3
+	// A sixteenth is removed at once from a full table, so that the scan is paid for by many inserts.
+	evictShare = 16
+	// Crashes remembered per endpoint; older ones do not change the ruling.
+	maxCrashesKept = 8
+	// Requests remembered per crash; an endpoint has fewer slots than this.
+	maxRequestsPerCrash = 256
+)
+
+// Config describes a System; zero values are replaced by the defaults.
+type Config struct {
+	Lifetime    time.Duration
+	MaxRequests int
+	SickCrashes int
+}
+
+// request holds what is known against one fingerprint.
+type request struct {
+	marks     map[CrashID]time.Time
+	clearedAt time.Time
+	until     time.Time
+	last      time.Time
+}
+
+type run struct {
+	// marked is true once the run has a mark: endpoints of one pipeline that crash together, as in a rack
+	// fault, are one piece of evidence.
+	marked      bool
+	fingerprint Fingerprint
+	endpoints   []table.EndpointID
+}
+
+// System keeps the marks of one host.
+type System struct {
+	cfg       Config
+	requests  map[Fingerprint]*request
+	streams   map[table.StreamID]*run
+	running   map[table.EndpointID]map[table.StreamID]Fingerprint
+	endpoints map[table.EndpointID]*history
+	swept     time.Time
+}
+
+// New returns a system without marks.
+func New(cfg Config) *System {
+	if cfg.Lifetime == 0 {
+		cfg.Lifetime = defaultLifetime
+	}
+	if cfg.MaxRequests == 0 {
+		cfg.MaxRequests = defaultMaxRequests
+	}
+	if cfg.SickCrashes == 0 {
+		cfg.SickCrashes = defaultSickCrashes
+	}
+	return &System{
+		cfg:       cfg,
+		requests:  map[Fingerprint]*request{},
+		streams:   map[table.StreamID]*run{},
+		running:   map[table.EndpointID]map[table.StreamID]Fingerprint{},
+		endpoints: map[table.EndpointID]*history{},
+	}
+}
+
+// Len returns the number of requests with marks or with a recent completion after marks.
+func (s *System) Len() int { return len(s.requests) }
+
+// Tick applies the events and returns the marks to hand to peers.
+func (s *System) Tick(now time.Time, events []Event) []Decision {
+	s.sweep(now)
+	var out []Decision
+	for _, e := range events {
+		switch e := e.(type) {
+		case Started:
+			s.stop(e.stream)
+			s.begin(e)
+		case Stopped:
+			s.stop(e.stream)
+		case Completed:
+			if d, ok := s.completed(now, e.fingerprint); ok {
+				out = append(out, d)
+			}
+		case EndpointCrashed:
+			out = append(out, s.crashed(now, e)...)
+		case PeerMarks:
+			for _, m := range e.marks {
+				s.merge(now, m)
+			}
+		}
+	}
+	return out
+}
+
+// Verdict returns the ruling on a request at the time.
+func (s *System) Verdict(now time.Time, f Fingerprint) Verdict {
+	r := s.requests[f]
+	if r == nil {
+		return Verdict{ruling: Clear}
+	}
+	if now.Before(r.until) {
+		return Verdict{ruling: Refuse, until: r.until, crashes: r.live(now, s.cfg.Lifetime)}
+	}
+	crashes := r.live(now, s.cfg.Lifetime)
+	if len(crashes) == 0 {
+		return Verdict{ruling: Clear}
+	}
+	return Verdict{ruling: Isolate, crashes: crashes, avoid: s.occupied(now, f, crashes)}
+}
+
+// occupied returns the endpoints that run another request with a live mark from one of the crashes.
+func (s *System) occupied(now time.Time, f Fingerprint, crashes []CrashID) []table.EndpointID {
+	var out []table.EndpointID
+	for id, on := range s.running {
+		for _, other := range on {
+			r := s.requests[other]
+			if other == f || r == nil || !r.shares(now, s.cfg.Lifetime, crashes) {
+				continue
+			}
+			out = append(out, id)
+			break
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (s *System) begin(e Started) {
+	s.streams[e.stream] = &run{fingerprint: e.fingerprint, endpoints: e.endpoints}
+	for _, id := range e.endpoints {
+		on := s.running[id]
+		if on == nil {
+			on = map[table.StreamID]Fingerprint{}
+			s.running[id] = on
+		}
+		on[e.stream] = e.fingerprint
+	}
+}
+
+func (s *System) stop(id table.StreamID) {
+	r := s.streams[id]
+	if r == nil {
+		return
+	}
+	for _, ep := range r.endpoints {
+		delete(s.running[ep], id)
+		if len(s.running[ep]) == 0 {
+			delete(s.running, ep)
+		}
+	}
+	delete(s.streams, id)
+}
+
+func (s *System) completed(now time.Time, f Fingerprint) (Decision, bool) {
+	r := s.requests[f]
+	if r == nil || len(r.marks) == 0 {
+		return nil, false
+	}
+	m := NewMark(MarkConfig{Fingerprint: f, At: now, Cleared: true})
+	s.merge(now, m)
+	return SpreadMarks{marks: []Mark{m}}, true
+}
+
+func (s *System) crashed(now time.Time, e EndpointCrashed) []Decision {
+	crash := CrashID(fmt.Sprintf("%s@%d", e.endpoint, e.incarnation))
+	h := s.endpoints[e.endpoint]
+	if h == nil {
+		h = &history{}
+		s.endpoints[e.endpoint] = h
+	}
+	h.forget(now, s.cfg.Lifetime)
+	// Every stream on the endpoint reports the crash; a late report must not mark streams that began since.
+	if h.knows(crash) {
+		return nil
+	}
+	suspects := s.suspects(e.endpoint)
+	wasSick := h.sick
+	blamed := s.blamed(now, e.endpoint, suspects)
+	h.record(pastCrash{id: crash, at: now, requests: suspects, blamed: blamed}, s.cfg)
+	if h.sick {
+		if wasSick {
+			return nil
+		}
+		return []Decision{Sick{endpoint: e.endpoint}}
+	}
+	var marks []Mark
+	for _, f := range s.unmarked(e.endpoint, suspects) {
+		m := NewMark(MarkConfig{Fingerprint: f, Crash: crash, At: now})
+		if s.merge(now, m) {
+			marks = append(marks, m)
+		}
+	}
+	if len(marks) == 0 {
+		return nil
+	}
+	return []Decision{SpreadMarks{marks: marks}}
+}
+
+// suspects returns the requests on an endpoint, each once, in a fixed order.
+func (s *System) suspects(id table.EndpointID) []Fingerprint {
+	set := map[Fingerprint]bool{}
+	for _, f := range s.running[id] {
+		set[f] = true
+	}
+	out := slices.Collect(maps.Keys(set))
+	slices.SortFunc(out, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
+	return out
+}
+
+// unmarked returns the suspects with a run that has no mark yet, and notes the mark on these runs.
+func (s *System) unmarked(id table.EndpointID, suspects []Fingerprint) []Fingerprint {
+	fresh := map[Fingerprint]bool{}
+	for stream, f := range s.running[id] {
+		r := s.streams[stream]
+		if !r.marked {
+			fresh[f] = true
+		}
+		r.marked = true
+	}
+	return slices.DeleteFunc(slices.Clone(suspects), func(f Fingerprint) bool { return !fresh[f] })
+}
+
+// blamed reports whether a request with a mark from another endpoint explains the crash.
+func (s *System) blamed(now time.Time, id table.EndpointID, suspects []Fingerprint) bool {
+	for _, f := range suspects {
+		r := s.requests[f]
+		if r == nil {
+			continue
+		}
+		for _, c := range r.live(now, s.cfg.Lifetime) {
+			if !c.on(id) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// merge takes in one mark and reports whether it was new.
+func (s *System) merge(now time.Time, m Mark) bool {
+	at := m.cfg.At
+	if at.After(now) {
+		at = now
+	}
+	if now.Sub(at) >= s.cfg.Lifetime {
+		return false
+	}
+	r := s.requests[m.cfg.Fingerprint]
+	if r == nil {
+		s.makeRoom(now)
+		r = &request{marks: map[CrashID]time.Time{}}
+		s.requests[m.cfg.Fingerprint] = r
+	}
+	r.last = later(r.last, at)
+	if m.cfg.Cleared {
+		return r.clear(at, s.cfg.Lifetime)
+	}
+	if !at.After(r.clearedAt) {
+		return false
+	}
+	old, known := r.marks[m.cfg.Crash]
+	// The earliest time wins, so that a mark that travels between hosts does not grow younger.
+	if known && !at.Before(old) {
+		return false
+	}
+	r.marks[m.cfg.Crash] = at
+	r.trim()
+	r.rule(s.cfg.Lifetime)
+	return !known
+}
+
+// sweepInterval bounds the work of expiry; a verdict checks the age of marks itself.
+const sweepInterval = time.Minute
+
+func (s *System) sweep(now time.Time) {
+	if now.Sub(s.swept) < sweepInterval {
+		return
+	}
+	s.swept = now
+	maps.DeleteFunc(s.requests, func(_ Fingerprint, r *request) bool {
+		return now.Sub(r.last) >= s.cfg.Lifetime && !now.Before(r.until)
+	})
+	maps.DeleteFunc(s.endpoints, func(_ table.EndpointID, h *history) bool {
+		h.forget(now, s.cfg.Lifetime)
+		return len(h.crashes) == 0
+	})
+}
+
+// makeRoom removes the oldest entries of a full table, those that are not refused first.
+func (s *System) makeRoom(now time.Time) {
+	if len(s.requests) < s.cfg.MaxRequests {
+		return
+	}
+	keys := slices.Collect(maps.Keys(s.requests))
+	slices.SortFunc(keys, func(a, b Fingerprint) int {
+		ra, rb := s.requests[a], s.requests[b]
+		if x, y := now.Before(ra.until), now.Before(rb.until); x != y {
+			if x {
+				return 1
+			}
+			return -1
+		}
+		if c := ra.last.Compare(rb.last); c != 0 {
+			return c
+		}
+		return slices.Compare(a[:], b[:])
+	})
+	for _, f := range keys[:max(1, len(keys)/evictShare)] {
+		delete(s.requests, f)
+	}
+}
--- /dev/null
+++ b/internal/core/seal/mark.go
@@ -0,0 +1,88 @@
+package seal
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+
+	"github.com/rotisserie/eris"
+
+	"waxwingplank/internal/core/table"
+)
+
+// ErrForeign is returned for an id that belongs to another workspace, service or body.
+var ErrForeign = eris.New("seal: id belongs to another request")
+
+// Digest is the SHA-256 digest of a request body.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a body.
+func DigestOf(body []byte) Digest { return sha256.Sum256(body) }
+
+// chainBytes is the size of a chain digest: 16 bytes leave no practical chance that two texts share one.
+const chainBytes = 16
+
+// Chain is the digest of all text delivered so far, token by token; the zero value stands for no text.
+type Chain [chainBytes]byte
+
+// chainInputBytes holds the previous digest and a token of usual length without an allocation.
+const chainInputBytes = 128
+
+// Next returns the chain after one more token.
+func (c Chain) Next(text string) Chain {
+	var buf [chainInputBytes]byte
+	in := append(buf[:0], c[:]...)
+	in = append(in, text...)
+	sum := sha256.Sum256(in)
+	return Chain(sum[:chainBytes])
+}
+
+// MarkConfig describes a Mark.
+type MarkConfig struct {
+	Service   table.ServiceID
+	Workspace table.WorkspaceID
+	Stream    table.StreamID
+	Route     string
+	Attempt   int
+	Position  int
+	Body      Digest
+	Chain     Chain
+}
+
+// Mark is a place in a stream, just after the token at its position.
+type Mark struct{ cfg MarkConfig }
+
+// NewMark returns a mark.
+func NewMark(cfg MarkConfig) Mark { return Mark{cfg: cfg} }
+
+// Service returns the service of the stream.
+func (m Mark) Service() table.ServiceID { return m.cfg.Service }
+
+// Workspace returns the workspace of the caller.
+func (m Mark) Workspace() table.WorkspaceID { return m.cfg.Workspace }
+
+// Stream returns the stream.
+func (m Mark) Stream() table.StreamID { return m.cfg.Stream }
+
+// Route returns the identifier of the pipeline that made the token.
+func (m Mark) Route() string { return m.cfg.Route }
+
+// Attempt returns the attempt that made the token.
+func (m Mark) Attempt() int { return m.cfg.Attempt }
+
+// Position returns the position of the last delivered token.
+func (m Mark) Position() int { return m.cfg.Position }
+
+// Body returns the digest of the request body.
+func (m Mark) Body() Digest { return m.cfg.Body }
+
+// Chain returns the digest of the text up to and including the token.
+func (m Mark) Chain() Chain { return m.cfg.Chain }
+
+// Check returns ErrForeign unless the mark belongs to the workspace, service and body of the caller.
+func (m Mark) Check(workspace table.WorkspaceID, service table.ServiceID, body Digest) error {
+	same := subtle.ConstantTimeCompare(m.cfg.Body[:], body[:]) == 1
+	if m.cfg.Workspace != workspace || m.cfg.Service != service || !same {
+		return ErrForeign
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/stream/choice.go
@@ -0,0 +1,48 @@
+package stream
+
+import "time"
+
+// Option is a way to recover with its estimated time.
+type Option struct {
+	method   Method
+	estimate time.Duration
+}
+
+// Method returns the way to recover.
+func (o Option) Method() Method { return o.method }
+
+// Estimate returns the expected time to the next token.
+func (o Option) Estimate() time.Duration { return o.estimate }
+
+// options returns the ways open to a stream after a failed attempt, the fastest first.
+//
+// Continue is not tried twice in a row without a new token between: the engines answered and still failed.
+func (s *System) options(r *row, f FailedConfig) []Option {
+	var all []Option
+	if f.HeadAnswers && (r.method != Continue || f.Progressed) {
+		all = append(all, Option{Continue, s.cfg.RoundTrip})
+	}
+	context := r.open.PromptTokens + f.Position
+	if f.ExportAnswers && f.TextKnown && f.Position > 0 && (r.method != Import || f.Progressed) {
+		bytes := float64(context) * float64(r.open.KVBytesPerToken)
+		move := time.Duration(bytes / s.cfg.ExportBytesPerSecond * float64(time.Second))
+		all = insert(all, Option{Import, 2*s.cfg.RoundTrip + move})
+	}
+	compute := time.Duration(context) * s.cfg.PrefillPerToken
+	method := Prefill
+	if !f.TextKnown {
+		method = Regenerate
+	}
+	return insert(all, Option{method, s.cfg.RoundTrip + compute})
+}
+
+func insert(all []Option, o Option) []Option {
+	at := len(all)
+	for at > 0 && o.estimate < all[at-1].estimate {
+		at--
+	}
+	all = append(all, Option{})
+	copy(all[at+1:], all[at:])
+	all[at] = o
+	return all
+}
--- /dev/null
+++ b/internal/core/stream/decision.go
@@ -0,0 +1,113 @@
+package stream
+
+import (
+	"time"
+
+	"waxwingplank/internal/core/table"
+)
+
+// Decision is something to do for one stream.
+type Decision interface {
+	// Stream returns the stream that the decision is about.
+	Stream() table.StreamID
+	decision()
+}
+
+type subject struct{ stream table.StreamID }
+
+// Stream returns the stream that the decision is about.
+func (s subject) Stream() table.StreamID { return s.stream }
+func (subject) decision()                {}
+
+// AskPipeline asks for a pipeline; the answer is Assigned or Unassigned.
+type AskPipeline struct {
+	subject
+	priority int
+	since    time.Time
+	avoid    []table.EndpointID
+	prefer   string
+	recovery bool
+}
+
+// Priority returns the priority of the stream; 0 is the highest.
+func (d AskPipeline) Priority() int { return d.priority }
+
+// Since returns the time since which the stream has waited.
+func (d AskPipeline) Since() time.Time { return d.since }
+
+// Avoid returns the endpoints that must not be part of the pipeline.
+func (d AskPipeline) Avoid() []table.EndpointID { return d.avoid }
+
+// Prefer returns the pipeline that may still hold the stream, or an empty string.
+func (d AskPipeline) Prefer() string { return d.prefer }
+
+// Recovery reports whether the stream already ran.
+func (d AskPipeline) Recovery() bool { return d.recovery }
+
+// StartAttempt starts an attempt on a pipeline.
+type StartAttempt struct {
+	subject
+	attempt  int
+	method   Method
+	pipeline table.Pipeline
+	estimate time.Duration
+	passed   []Option
+}
+
+// Attempt returns the number of the attempt.
+func (d StartAttempt) Attempt() int { return d.attempt }
+
+// Method returns how the attempt begins.
+func (d StartAttempt) Method() Method { return d.method }
+
+// Pipeline returns the pipeline to run on.
+func (d StartAttempt) Pipeline() table.Pipeline { return d.pipeline }
+
+// Estimate returns the expected time to the next token.
+func (d StartAttempt) Estimate() time.Duration { return d.estimate }
+
+// PassedOver returns the other ways to recover that were possible, with their estimates.
+func (d StartAttempt) PassedOver() []Option { return d.passed }
+
+// CancelAttempt ends an attempt on every stage.
+type CancelAttempt struct {
+	subject
+	attempt  int
+	pipeline table.Pipeline
+}
+
+// Attempt returns the number of the attempt.
+func (d CancelAttempt) Attempt() int { return d.attempt }
+
+// Pipeline returns the pipeline that ran the attempt.
+func (d CancelAttempt) Pipeline() table.Pipeline { return d.pipeline }
+
+// Finish ends a stream whose answer was delivered.
+type Finish struct{ subject }
+
+// Move ends a stream that another host goes on with; its engines keep the state.
+type Move struct{ subject }
+
+// Leave ends a stream whose caller has gone.
+type Leave struct{ subject }
+
+// Reason says why a stream failed.
+type Reason string
+
+// The reasons for a failed stream.
+const (
+	NoPipeline       Reason = "no_pipeline"
+	TooManyAttempts  Reason = "too_many_attempts"
+	DeadlinePassed   Reason = "deadline_passed"
+	CannotRecover    Reason = "cannot_recover"
+	DuplicateOpening Reason = "duplicate_opening"
+)
+
+// Fail ends a stream without its whole answer.
+type Fail struct {
+	subject
+	reason Reason
+}
+
+// Reason returns why the stream failed.
+func (d Fail) Reason() Reason { return d.reason }
--- /dev/null
+++ b/internal/core/stream/life.go
@@ -0,0 +1,73 @@
+package stream
+
+import (
+	"context"
+
+	"github.com/qmuntal/stateless"
+	"github.com/rotisserie/eris"
+)
+
+// State is a state in the life of a stream.
+type State string
+
+// The states of a stream.
+const (
+	Waiting    State = "waiting"
+	Running    State = "running"
+	Recovering State = "recovering"
+	Done       State = "done"
+	Failed     State = "failed"
+	Gone       State = "gone"
+)
+
+type trigger string
+
+const (
+	started   trigger = "started"
+	broken    trigger = "broken"
+	completed trigger = "completed"
+	failed    trigger = "failed"
+	left      trigger = "left"
+)
+
+// life is one machine for all streams: it reads and writes the state of the row set before each trigger,
+// because a configured machine per stream would cost kilobytes each.
+type life struct {
+	machine *stateless.StateMachine
+	row     *row
+}
+
+func newLife() *life {
+	l := &life{}
+	read := func(context.Context) (stateless.State, error) { return l.row.state, nil }
+	write := func(_ context.Context, s stateless.State) error {
+		state, ok := s.(State)
+		if !ok {
+			return eris.Errorf("stream: %v is not a state", s)
+		}
+		l.row.state = state
+		return nil
+	}
+	m := stateless.NewStateMachineWithExternalStorage(read, write, stateless.FiringImmediate)
+	m.Configure(Waiting).
+		Permit(started, Running).
+		Permit(failed, Failed).
+		Permit(left, Gone)
+	m.Configure(Running).
+		Permit(broken, Recovering).
+		Permit(completed, Done).
+		Permit(failed, Failed).
+		Permit(left, Gone)
+	m.Configure(Recovering).
+		Permit(started, Running).
+		Permit(failed, Failed).
+		Permit(left, Gone)
+	l.machine = m
+	return l
+}
+
+// fire applies the trigger and reports whether the state of the row allows it.
+func (l *life) fire(r *row, t trigger) bool {
+	l.row = r
+	return l.machine.Fire(t) == nil
+}
