--- /dev/null
+++ b/internal/core/seal/seal_test.go
@@ -0,0 +1,176 @@
+package seal
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"waxwingplank/internal/core/table"
+)
+
+// The seed is fixed so that a failure can be repeated; -rapid.seed overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
+
+func key(b byte) []byte { return bytes.Repeat([]byte{b}, keyBytes) }
+
+func sealer(t testing.TB, keys ...[]byte) *Sealer {
+	t.Helper()
+	s, err := New(Config{Keys: keys, Random: rand.NewChaCha8([32]byte{1})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func mark() MarkConfig {
+	return MarkConfig{
+		Service: "label-drafts", Workspace: "exporter-a", Stream: "s-1", Route: "e1+e2+e3",
+		Attempt: 3, Position: 41, Body: DigestOf([]byte("body")), Chain: Chain{}.Next("a").Next("b"),
+	}
+}
+
+// Guards against a host that resumes at another place than the one that was sealed.
+func TestRoundTrip(t *testing.T) {
+	s := sealer(t, key(1))
+	name := rapid.StringN(0, 40, maxNameBytes)
+	rapid.Check(t, func(t *rapid.T) {
+		m := MarkConfig{
+			Service:   table.ServiceID(name.Draw(t, "service")),
+			Workspace: table.WorkspaceID(name.Draw(t, "workspace")),
+			Stream:    table.StreamID(name.Draw(t, "stream")),
+			Route:     name.Draw(t, "route"),
+			Attempt:   rapid.IntRange(0, 1<<31).Draw(t, "attempt"),
+			Position:  rapid.IntRange(0, 1<<31).Draw(t, "position"),
+			Body:      DigestOf([]byte(name.Draw(t, "body"))),
+			Chain:     Chain{}.Next(name.Draw(t, "text")),
+		}
+		id, err := s.Seal(NewMark(m))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := s.Open(id)
+		if err != nil || got.cfg != m {
+			t.Fatalf("got %+v, %v; want %+v", got.cfg, err, m)
+		}
+	})
+}
+
+// Guards against rotation that cuts off the streams sealed with the older key.
+func TestRotation(t *testing.T) {
+	is := is.New(t)
+	old := sealer(t, key(1))
+	both := sealer(t, key(2), key(1))
+	id, err := old.Seal(NewMark(mark()))
+	is.NoErr(err)
+	m, err := both.Open(id)
+	is.NoErr(err)
+	is.Equal(m.Position(), 41)
+	id, err = both.Seal(NewMark(mark()))
+	is.NoErr(err)
+	_, err = old.Open(id) // the newest key seals
+	is.True(errors.Is(err, ErrInvalid))
+	_, err = sealer(t, key(2)).Open(id)
+	is.NoErr(err)
+}
+
+// Guards against a caller that alters an id, and against input that makes the opener panic.
+func TestAlteredIDs(t *testing.T) {
+	is := is.New(t)
+	s := sealer(t, key(1))
+	id, err := s.Seal(NewMark(mark()))
+	is.NoErr(err)
+	raw, err := encoding.DecodeString(id)
+	is.NoErr(err)
+	for i := range raw {
+		bad := bytes.Clone(raw)
+		bad[i] ^= 1
+		_, err := s.Open(encoding.EncodeToString(bad))
+		is.True(errors.Is(err, ErrInvalid)) // every byte is covered
+		_, err = s.Open(encoding.EncodeToString(raw[:i]))
+		is.True(errors.Is(err, ErrInvalid)) // every truncation is refused
+	}
+	for _, bad := range []string{"", "!", strings.Repeat("A", 4096)} {
+		_, err := s.Open(bad)
+		is.True(errors.Is(err, ErrInvalid))
+	}
+}
+
+// Guards against a caller who resumes another workspace's stream, or one with another body.
+func TestCheck(t *testing.T) {
+	is := is.New(t)
+	m := NewMark(mark())
+	is.NoErr(m.Check("exporter-a", "label-drafts", DigestOf([]byte("body"))))
+	is.True(errors.Is(m.Check("exporter-b", "label-drafts", DigestOf([]byte("body"))), ErrForeign))
+	is.True(errors.Is(m.Check("exporter-a", "other", DigestOf([]byte("body"))), ErrForeign))
+	is.True(errors.Is(m.Check("exporter-a", "label-drafts", DigestOf([]byte("else"))), ErrForeign))
+}
+
+// Guards against a nonce used twice under one key, which would break the cipher.
+func TestNoncesDiffer(t *testing.T) {
+	is := is.New(t)
+	p, err := sealer(t, key(1)).Prepare(NewMark(mark()))
+	is.NoErr(err)
+	seen := map[string]bool{}
+	for i := range 1000 {
+		if i%100 == 0 {
+			is.NoErr(p.Reroute(NewMark(mark())))
+		}
+		raw, err := encoding.DecodeString(p.Seal(7, Chain{}))
+		is.NoErr(err)
+		head := string(raw[:headerBytes])
+		is.True(!seen[head])
+		seen[head] = true
+	}
+}
+
+// Guards against keys that cannot serve.
+func TestBadKeys(t *testing.T) {
+	for _, keys := range [][][]byte{nil, {key(1)[:16]}, {key(1), key(1)}} {
+		_, err := New(Config{Keys: keys, Random: rand.NewChaCha8([32]byte{})})
+		is.New(t).True(err != nil)
+	}
+}
+
+func BenchmarkPreparedSeal(b *testing.B) {
+	p, err := sealer(b, key(1)).Prepare(NewMark(mark()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	chain := Chain{}.Next("a")
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Seal(1, chain)
+	}
+}
+
+func BenchmarkChainNext(b *testing.B) {
+	var chain Chain
+	b.ReportAllocs()
+	for b.Loop() {
+		chain = chain.Next(" token")
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	s := sealer(b, key(1))
+	id, err := s.Seal(NewMark(mark()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := s.Open(id); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/core/stream/pace.go
+++ b/internal/core/stream/pace.go
@@ -7,54 +7,49 @@
 	"waxwingplank/internal/core/table"
 )
 
-// bucket limits the recoveries that one surviving endpoint takes.
-type bucket struct {
-	tokens float64
-	rate   float64
-	at     time.Time
+// window limits the recoveries that one surviving endpoint takes in any interval. A token bucket would let
+// through twice the share in the second after a pause.
+type window struct {
+	limit int
+	// rated is the time at which the limit was set.
+	rated  time.Time
+	starts []time.Time
 }
 
-// fill adds the allowance for the time passed; a survivor always gets at least one start per interval.
-func (b *bucket) fill(now time.Time, cfg Config) {
-	limit := b.rate
-	if passed := now.Sub(b.at); passed > 0 {
-		b.tokens += limit * float64(passed) / float64(cfg.PaceInterval)
-		b.at = now
-	}
-	if b.tokens > limit {
-		b.tokens = limit
+// open reports whether the survivor may take one more recovery.
+func (w *window) open(now time.Time, interval time.Duration) bool {
+	old := 0
+	for old < len(w.starts) && now.Sub(w.starts[old]) >= interval {
+		old++
 	}
+	w.starts = w.starts[old:]
+	return len(w.starts) < w.limit
 }
 
 // pacer holds recoveries that have a pipeline and wait for their turn.
 type pacer struct {
 	cfg     Config
-	buckets map[table.EndpointID]*bucket
+	windows map[table.EndpointID]*window
 	queues  map[string]*queue
 }
 
 func newPacer(cfg Config) *pacer {
-	return &pacer{cfg: cfg, buckets: map[table.EndpointID]*bucket{}, queues: map[string]*queue{}}
+	return &pacer{cfg: cfg, windows: map[table.EndpointID]*window{}, queues: map[string]*queue{}}
 }
 
-// add queues a recovery and learns the free slots of its pipeline.
+// add queues a recovery and learns the free slots of its pipeline. A survivor always gets at least one
+// recovery per interval.
 func (p *pacer) add(now time.Time, r *row, free int) {
-	limit := float64(free) * p.cfg.PaceShare
-	if limit < 1 {
-		limit = 1
-	}
+	limit := max(1, int(float64(free)*p.cfg.PaceShare))
 	for _, st := range r.pipeline.Stages() {
-		b := p.buckets[st.Endpoint()]
-		if b == nil {
-			b = &bucket{tokens: limit, rate: limit, at: now}
-			p.buckets[st.Endpoint()] = b
-			continue
+		w := p.windows[st.Endpoint()]
+		if w == nil {
+			w = &window{}
+			p.windows[st.Endpoint()] = w
 		}
-		b.fill(now, p.cfg)
 		// The free slots shrink while recoveries take them; the limit of an interval is that at its start.
-		if limit > b.rate || b.tokens >= b.rate {
-			b.rate = limit
-			b.tokens = min(b.tokens, limit)
+		if limit > w.limit || now.Sub(w.rated) >= p.cfg.PaceInterval {
+			w.limit, w.rated = limit, now
 		}
 	}
 	q := p.queues[r.pipeline.ID()]
@@ -109,14 +104,13 @@
 
 func (p *pacer) spend(now time.Time, r *row) bool {
 	for _, st := range r.pipeline.Stages() {
-		b := p.buckets[st.Endpoint()]
-		b.fill(now, p.cfg)
-		if b.tokens < 1 {
+		if !p.windows[st.Endpoint()].open(now, p.cfg.PaceInterval) {
 			return false
 		}
 	}
 	for _, st := range r.pipeline.Stages() {
-		p.buckets[st.Endpoint()].tokens--
+		w := p.windows[st.Endpoint()]
+		w.starts = append(w.starts, now)
 	}
 	return true
 }
@@ -127,14 +121,14 @@
 	}
 }
 
-// forget removes buckets that are full again, so that the table holds only endpoints in recovery.
+// forget removes windows without recent starts, so that the table holds only endpoints in recovery.
 func (p *pacer) forget(now time.Time) {
 	if len(p.queues) > 0 {
 		return
 	}
-	for id, b := range p.buckets {
-		if now.Sub(b.at) >= p.cfg.PaceInterval {
-			delete(p.buckets, id)
+	for id, w := range p.windows {
+		if w.open(now, p.cfg.PaceInterval) && len(w.starts) == 0 {
+			delete(p.windows, id)
 		}
 	}
 }
--- a/internal/daemon/streams/harness_test.go
+++ b/internal/daemon/streams/harness_test.go
@@ -32,7 +32,7 @@
 	done   chan struct{}
 }
 
-func newHost(t *testing.T, fleet streams.Engines, pl streams.Pipelines, marks streams.Marks) *host {
+func newHost(t testing.TB, fleet streams.Engines, pl streams.Pipelines, marks streams.Marks) *host {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/test/fakeengine/fleet.go
+++ b/test/fakeengine/fleet.go
@@ -74,6 +74,7 @@
 	cancels   map[table.EndpointID]int
 	crashes   []table.EndpointID
 	exports   int
+	onCrash   func()
 	wg        sync.WaitGroup
 }
 
@@ -115,6 +116,9 @@
 	close(e.died)
 	e.held = map[table.StreamID]int{}
 	f.crashes = append(f.crashes, id)
+	if f.onCrash != nil {
+		f.onCrash()
+	}
 	if f.cfg.RestartAfter > 0 {
 		f.wg.Go(func() {
 			<-time.After(f.cfg.RestartAfter)
@@ -123,6 +127,13 @@
 	}
 }
 
+// OnCrash sets what to do at each crash.
+func (f *Fleet) OnCrash(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onCrash = do
+}
+
 // Restart brings a crashed endpoint back with a new incarnation.
 func (f *Fleet) Restart(id table.EndpointID) {
 	f.mu.Lock()
