Add admission, share and a first routing system

Cause: the daemon needs a routing.System to build against. Change: waiting queues with classes, start-time fair queueing and early refusal; division of slots into grants; choice of a pipeline from own in-flight counts, load hints, measured speed and prefix holders; recovery pacing, retry budget, isolation of marked requests and preemption.

--- /dev/null
+++ b/internal/core/routing/event.go
@@ -0,0 +1,249 @@
+package routing
+
+import (
+	"time"
+
+	"waxwingplank/internal/core/table"
+)
+
+// Event is something that happened to a request, an endpoint or the set of pipelines.
+type Event interface{ event() }
+
+// ArrivedConfig describes an Arrived event.
+type ArrivedConfig struct {
+	Request   table.RequestID
+	Service   table.ServiceID
+	Workspace table.WorkspaceID
+	Kind      string
+	// Priority 0 is the highest class.
+	Priority int
+	// Weight is the workspace's share within its class; values below 1 count as 1.
+	Weight int
+	// Deadline is the time by which the request must be dispatched; zero means none.
+	Deadline time.Time
+	// Preamble is the hash of the shared preamble; zero means none.
+	Preamble uint64
+	// MaxTokens bounds the answer; zero for plain calls.
+	MaxTokens int
+	// Avoid lists endpoints that must not take the request.
+	Avoid []table.EndpointID
+	// Isolation lists the crashes that the request is marked with.
+	Isolation []string
+	// Recovery marks a request that was running before; it goes before new work of its class.
+	Recovery bool
+	// Since is the time of the first promise to the caller; it orders recovery requests.
+	Since time.Time
+	// FirstSend is true where the caller declared this copy to be the first.
+	FirstSend bool
+	// Repeatable is true where running the request twice does no harm.
+	Repeatable bool
+	// Key is the caller's idempotency key; empty means that duplicates cannot be recognised.
+	Key string
+	// Preemptible is true where the engine can resume the request after it was stopped.
+	Preemptible bool
+}
+
+// Arrived says that a request asks for a pipeline or endpoint.
+type Arrived struct{ cfg ArrivedConfig }
+
+// NewArrived returns an Arrived event.
+func NewArrived(cfg ArrivedConfig) Arrived {
+	cfg.Weight = max(cfg.Weight, 1)
+	cfg.MaxTokens = max(cfg.MaxTokens, 1)
+	return Arrived{cfg: cfg}
+}
+
+// Departed says that the caller of a request has gone.
+type Departed struct{ request table.RequestID }
+
+// NewDeparted returns a Departed event.
+func NewDeparted(request table.RequestID) Departed { return Departed{request: request} }
+
+// Finished says that a request has ended with a whole answer.
+type Finished struct {
+	request table.RequestID
+	tokens  int
+	elapsed time.Duration
+}
+
+// NewFinished returns a Finished event; elapsed counts from the dispatch.
+func NewFinished(request table.RequestID, tokens int, elapsed time.Duration) Finished {
+	return Finished{request: request, tokens: tokens, elapsed: elapsed}
+}
+
+// Reason says why an attempt failed.
+type Reason string
+
+// The reasons for a failed attempt.
+const (
+	// ReasonConnect means that no connection was made, so no byte was sent.
+	ReasonConnect Reason = "connect"
+	ReasonReset   Reason = "reset"
+	ReasonSilent  Reason = "silent"
+	ReasonTimeout Reason = "timeout"
+	// ReasonBusy means that the endpoint had no free slot; it says nothing about its health.
+	ReasonBusy Reason = "busy"
+	// ReasonPreempted means that the attempt was stopped for a request of a higher class.
+	ReasonPreempted Reason = "preempted"
+)
+
+// AttemptFailed says that an attempt ended without a whole answer.
+type AttemptFailed struct {
+	request  table.RequestID
+	endpoint table.EndpointID
+	reason   Reason
+}
+
+// NewAttemptFailed returns an AttemptFailed event; the endpoint may be empty where the failing stage
+// is not known.
+func NewAttemptFailed(request table.RequestID, endpoint table.EndpointID, reason Reason) AttemptFailed {
+	return AttemptFailed{request: request, endpoint: endpoint, reason: reason}
+}
+
+// PipelineConfig describes one pipeline of a service.
+type PipelineConfig struct {
+	Pipeline table.Pipeline
+	// Slots is the number of streams that the pipeline runs at once, over all hosts.
+	Slots int
+	// Interval is the token interval expected from the placement; zero means unknown.
+	Interval time.Duration
+}
+
+// Pipelines replaces the pipelines of a service.
+type Pipelines struct {
+	service table.ServiceID
+	list    []PipelineConfig
+	plain   bool
+}
+
+// NewPipelines returns a Pipelines event.
+func NewPipelines(service table.ServiceID, list []PipelineConfig) Pipelines {
+	return Pipelines{service: service, list: list}
+}
+
+// PlainEndpointConfig describes one instance of a plain service.
+type PlainEndpointConfig struct {
+	Endpoint table.EndpointID
+	Address  string
+	// Slots is the number of calls that the instance runs at once, over all hosts.
+	Slots int
+}
+
+// NewPlainEndpoints returns an event that replaces the instances of a plain service.
+func NewPlainEndpoints(service table.ServiceID, list []PlainEndpointConfig) Pipelines {
+	out := make([]PipelineConfig, len(list))
+	for i, e := range list {
+		stage := table.NewStage(table.StageConfig{Endpoint: e.Endpoint, Address: e.Address})
+		out[i] = PipelineConfig{Pipeline: table.NewPipeline([]table.Stage{stage}), Slots: e.Slots}
+	}
+	return Pipelines{service: service, list: out, plain: true}
+}
+
+// LimitsConfig describes the limits of a service's document.
+type LimitsConfig struct {
+	Service table.ServiceID
+	// Queue bounds the waiting requests on this host; zero means 512.
+	Queue int
+	// QueuePerWorkspace bounds one workspace's part; zero means a quarter of Queue.
+	QueuePerWorkspace int
+}
+
+// Limits sets the limits of a service; waiting requests beyond a smaller limit stay.
+type Limits struct{ cfg LimitsConfig }
+
+// NewLimits returns a Limits event.
+func NewLimits(cfg LimitsConfig) Limits { return Limits{cfg: cfg} }
+
+// Hosts says how many hosts are live and which of them this one is.
+type Hosts struct{ live, rank int }
+
+// NewHosts returns a Hosts event; rank counts from zero in an order that all hosts agree on.
+func NewHosts(live, rank int) Hosts { return Hosts{live: max(live, 1), rank: max(rank, 0)} }
+
+// GrantConfig describes the slots that this host may use of one pipeline.
+type GrantConfig struct {
+	Pipeline string
+	Slots    int
+	// Sequence rises with each division by the same owner; a grant with a lower one is ignored.
+	Sequence uint64
+	Lifetime time.Duration
+}
+
+// Grants brings new slot grants.
+type Grants struct{ list []GrantConfig }
+
+// NewGrants returns a Grants event.
+func NewGrants(list []GrantConfig) Grants { return Grants{list: list} }
+
+// LoadConfig describes a load report of an endpoint.
+type LoadConfig struct {
+	Endpoint table.EndpointID
+	Running  int
+	Queued   int
+	Slots    int
+	Step     time.Duration
+	// Measured is when the endpoint took the figures, by this host's clock.
+	Measured time.Time
+}
+
+// Load brings load reports.
+type Load struct{ list []LoadConfig }
+
+// NewLoad returns a Load event.
+func NewLoad(list ...LoadConfig) Load { return Load{list: list} }
+
+// CacheKind says what happened to a prefix.
+type CacheKind string
+
+// The kinds of cache events.
+const (
+	CacheStored  CacheKind = "stored"
+	CacheEvicted CacheKind = "evicted"
+)
+
+// CacheEventConfig describes one change of an endpoint's prefix cache.
+type CacheEventConfig struct {
+	Sequence uint64
+	Kind     CacheKind
+	Prefix   uint64
+}
+
+// CacheEvents brings changes of an endpoint's prefix cache.
+type CacheEvents struct {
+	endpoint table.EndpointID
+	list     []CacheEventConfig
+}
+
+// NewCacheEvents returns a CacheEvents event.
+func NewCacheEvents(endpoint table.EndpointID, list []CacheEventConfig) CacheEvents {
+	return CacheEvents{endpoint: endpoint, list: list}
+}
+
+// Progress says how fast a running stream goes.
+type Progress struct {
+	request    table.RequestID
+	firstToken time.Duration
+	interval   time.Duration
+}
+
+// NewProgress returns a Progress event with the mean token interval since the last one.
+func NewProgress(request table.RequestID, interval time.Duration) Progress {
+	return Progress{request: request, interval: interval}
+}
+
+// NewFirstToken returns a Progress event for the first token; elapsed counts from the dispatch.
+func NewFirstToken(request table.RequestID, elapsed time.Duration) Progress {
+	return Progress{request: request, firstToken: elapsed}
+}
+
+func (Arrived) event()       {}
+func (Departed) event()      {}
+func (Finished) event()      {}
+func (AttemptFailed) event() {}
+func (Pipelines) event()     {}
+func (Limits) event()        {}
+func (Hosts) event()         {}
+func (Grants) event()        {}
+func (Load) event()          {}
+func (CacheEvents) event()   {}
+func (Progress) event()      {}
--- /dev/null
+++ b/internal/core/routing/pick.go
@@ -0,0 +1,272 @@
+package routing
+
+import (
+	"container/heap"
+	"math"
+	"time"
+)
+
+const (
+	// maxDraws bounds the random draws for two usable candidates.
+	maxDraws = 6
+	// maxParkedTries bounds the parked requests looked at in one tick.
+	maxParkedTries = 16
+	// loadMemory is the age at which a load report counts for 1/e of a fresh one; reports come about
+	// once a second.
+	loadMemory = time.Second
+	// loadShare is the most that a fresh load report counts against own in-flight counts.
+	loadShare = 0.5
+	// cachedFirstToken is the part of the time to the first token that remains with the preamble cached,
+	// until it has been measured: preambles are the larger part of a prompt.
+	cachedFirstToken = 0.3
+	// assumedFirstToken and assumedInterval stand in until the service has been measured. Only their
+	// ratio matters, since all pipelines get the same values.
+	assumedFirstToken = 0.2
+	assumedInterval   = 0.03
+	// answerTokens bounds the tokens counted in the expected time, so that a long answer does not
+	// outweigh the wait for the first token altogether.
+	answerTokens = 256
+)
+
+// dispatch sends waiting requests to free slots, in the order of the queue.
+func (s *System) dispatch(now time.Time, svc *service) {
+	s.dispatchParked(now, svc)
+	skipRecovery := false
+	for len(svc.available) > 0 {
+		id, recovery, ok := svc.queue.Next(skipRecovery)
+		if !ok {
+			break
+		}
+		r := s.requests[id]
+		d := &Dispatch{request: id, service: svc.id, waited: now.Sub(r.arrived), retry: r.retry}
+		d.recovery = recovery && !r.retry
+		if skipRecovery && svc.freeSlots() <= svc.queue.RecoveryAhead(r.cfg.Priority) {
+			// The free slots are kept for recovery requests that were paced in this tick.
+			break
+		}
+		t := s.pick(now, r, d)
+		if t != nil {
+			svc.queue.Take(id)
+			s.start(now, r, t, d)
+			continue
+		}
+		if d.recovery && !skipRecovery && d.paced() {
+			skipRecovery = true
+			continue
+		}
+		svc.queue.Park(id)
+		svc.parked = append(svc.parked, r)
+		r.parked = true
+	}
+	s.preempt(svc)
+}
+
+// dispatchParked tries requests again that could not use the pipelines that were free before.
+func (s *System) dispatchParked(now time.Time, svc *service) {
+	tries := min(len(svc.parked), maxParkedTries)
+	for i := 0; i < tries && len(svc.available) > 0; i++ {
+		r := svc.parked[0]
+		svc.parked = svc.parked[1:]
+		d := &Dispatch{
+			request: r.cfg.Request, service: svc.id, waited: now.Sub(r.arrived), retry: r.retry,
+			recovery: r.cfg.Recovery,
+		}
+		t := s.pick(now, r, d)
+		if t == nil {
+			svc.parked = append(svc.parked, r)
+			continue
+		}
+		r.parked = false
+		svc.queue.Take(r.cfg.Request)
+		s.start(now, r, t, d)
+	}
+}
+
+func (s *service) unpark(r *request) {
+	if !r.parked {
+		return
+	}
+	r.parked = false
+	for i, p := range s.parked {
+		if p == r {
+			s.parked = append(s.parked[:i:i], s.parked[i+1:]...)
+			return
+		}
+	}
+}
+
+// freeSlots counts free slots over the available targets, at most as far as a few targets tell.
+func (s *service) freeSlots() int {
+	n := 0
+	for i, t := range s.available {
+		if i >= maxHolders*2 {
+			break
+		}
+		n += t.limit - t.inflight
+	}
+	return n
+}
+
+// paced reports whether pacing was the only thing that kept a recovery request from a pipeline.
+func (d *Dispatch) paced() bool {
+	for _, c := range d.PassedOver() {
+		if c.cause == CausePaced {
+			return true
+		}
+	}
+	return false
+}
+
+// start gives the request to the target.
+func (s *System) start(now time.Time, r *request, t *target, d *Dispatch) {
+	d.pipeline = t.pipeline
+	r.target = t
+	t.inflight++
+	if d.recovery {
+		t.pace.tokens--
+	}
+	for _, e := range t.endpoints {
+		for _, c := range r.cfg.Isolation {
+			e.crashes[c]++
+		}
+	}
+	if r.cfg.Preamble != 0 {
+		r.service.preambles.touch(r.cfg.Preamble).add(t)
+	}
+	if r.cfg.Preemptible {
+		r.service.rememberPreemptible(r)
+	}
+	s.count(r, 1, -1)
+	if t.factor() < 1 {
+		t.probeAt = now.Add(probeInterval)
+		heap.Push(&s.wakes, wakeEntry{at: t.probeAt, target: t})
+	}
+	t.service.refresh(now, s.hosts, t)
+	s.out = append(s.out, d)
+}
+
+// pick returns the target for the request, or nil where none of the free ones may take it.
+//
+// It compares the holders of the request's preamble with two random targets. Random draws keep hosts
+// that read the same late figures from choosing alike.
+func (s *System) pick(now time.Time, r *request, d *Dispatch) *target {
+	svc := r.service
+	var best *target
+	score := math.Inf(1)
+	seen := 0
+	consider := func(t *target) {
+		if t == best || !s.usable(now, r, t, d) {
+			return
+		}
+		seen++
+		v := svc.expected(now, r, t)
+		if v >= score {
+			d.pass(t, CauseLoad)
+			return
+		}
+		if best != nil {
+			d.pass(best, CauseLoad)
+		}
+		best, score = t, v
+	}
+	s.considerHolders(r, consider)
+	drawn := 0
+	for draw := 0; draw < maxDraws && drawn < 2 && len(svc.available) > 0; draw++ {
+		before := seen
+		consider(svc.available[s.rng.IntN(len(svc.available))])
+		if seen > before {
+			drawn++
+		}
+	}
+	if best == nil {
+		// The draws may have missed the only usable ones.
+		for _, t := range svc.available {
+			if s.usable(now, r, t, d) {
+				best = t
+				break
+			}
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	switch {
+	case seen <= 1:
+		d.cause = CauseOnly
+	case r.cfg.Preamble != 0 && svc.preambles.touch(r.cfg.Preamble).holds(best):
+		d.cause = CauseCache
+	default:
+		d.cause = CauseFaster
+	}
+	return best
+}
+
+// considerHolders looks at the two latest holders of the preamble, or at its home where none is known.
+func (s *System) considerHolders(r *request, consider func(*target)) {
+	if r.cfg.Preamble == 0 {
+		return
+	}
+	p := r.service.preambles.touch(r.cfg.Preamble)
+	for i := p.n - 1; i >= 0 && i >= p.n-2; i-- {
+		consider(p.holders[i])
+	}
+	if home := r.service.homeOf(p); p.n == 0 && home != nil {
+		consider(home)
+	}
+}
+
+// usable reports whether the target may take the request, and notes the cause where it may not.
+func (s *System) usable(now time.Time, r *request, t *target, d *Dispatch) bool {
+	if t.granted && !now.Before(t.until) {
+		t.service.refresh(now, s.hosts, t)
+	}
+	cause := Cause("")
+	switch {
+	case t.availAt < 0 && t.factor() < 1:
+		cause = CauseHealth
+	case t.availAt < 0:
+		cause = CauseFull
+	case t.avoided(r.cfg.Avoid):
+		cause = CauseAvoid
+	case t.conflicts(r.cfg.Isolation):
+		cause = CauseIsolation
+	case d.recovery && !t.pace.ready(now, t.limit-t.inflight):
+		cause = CausePaced
+	default:
+		return true
+	}
+	d.pass(t, cause)
+	return false
+}
+
+// expected estimates the seconds until the answer is complete. Own in-flight counts against the share
+// come first; a load report is a hint that loses weight with its age.
+func (s *service) expected(now time.Time, r *request, t *target) float64 {
+	own := float64(t.inflight) / float64(max(t.limit, 1))
+	load := own
+	e := t.busiest()
+	if !e.loadAt.IsZero() {
+		w := loadShare * math.Exp(-now.Sub(e.loadAt).Seconds()/loadMemory.Seconds())
+		load += w * (e.load - own)
+	}
+	first := t.firstToken.or(s.firstToken.or(assumedFirstToken))
+	if r.cfg.Preamble != 0 && s.preambles.touch(r.cfg.Preamble).holds(t) {
+		first *= cachedFirstToken
+	}
+	if s.plain {
+		return first * (1 + load)
+	}
+	interval := t.interval.or(s.interval.or(assumedInterval))
+	tokens := min(answerTokens, float64(r.cfg.MaxTokens), s.tokens.or(answerTokens))
+	return (first + tokens*interval) * (1 + load)
+}
+
+func (t *target) busiest() *endpoint {
+	best := t.endpoints[0]
+	for _, e := range t.endpoints[1:] {
+		if e.load > best.load {
+			best = e
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/core/routing/preamble.go
@@ -0,0 +1,123 @@
+package routing
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxPreambles bounds the memory for prefix knowledge of one service: 4,096 × about 100 bytes.
+	maxPreambles = 4096
+	// maxHolders bounds the pipelines remembered for one preamble; more would gain nothing, since the
+	// choice looks at two of them.
+	maxHolders = 4
+)
+
+// preamble remembers which pipelines hold the KV cache of a shared preamble.
+type preamble struct {
+	hash    uint64
+	holders [maxHolders]*target
+	n       int
+	// home is where hosts without cache knowledge send the preamble; all hosts compute the same.
+	home       *target
+	homeKnown  bool
+	prev, next *preamble
+}
+
+func (p *preamble) holds(t *target) bool {
+	for _, h := range p.holders[:p.n] {
+		if h == t {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *preamble) add(t *target) {
+	if p.holds(t) {
+		return
+	}
+	if p.n == maxHolders {
+		copy(p.holders[:], p.holders[1:])
+		p.n--
+	}
+	p.holders[p.n] = t
+	p.n++
+}
+
+func (p *preamble) drop(t *target) {
+	for i, h := range p.holders[:p.n] {
+		if h == t {
+			copy(p.holders[i:p.n], p.holders[i+1:p.n])
+			p.n--
+			p.holders[p.n] = nil
+			return
+		}
+	}
+}
+
+// preambles is a table of preambles that forgets the least recently used.
+type preambles struct {
+	rows map[uint64]*preamble
+	// Sentinel of a ring: next is the most recent, prev the least recent.
+	ring *preamble
+}
+
+func newPreambles() preambles {
+	ring := &preamble{}
+	ring.prev, ring.next = ring, ring
+	return preambles{rows: map[uint64]*preamble{}, ring: ring}
+}
+
+func (ps *preambles) touch(hash uint64) *preamble {
+	p, ok := ps.rows[hash]
+	if ok {
+		p.prev.next, p.next.prev = p.next, p.prev
+	} else {
+		if len(ps.rows) >= maxPreambles {
+			old := ps.ring.prev
+			old.prev.next, old.next.prev = old.next, old.prev
+			delete(ps.rows, old.hash)
+		}
+		p = &preamble{hash: hash}
+		ps.rows[hash] = p
+	}
+	p.prev, p.next = ps.ring, ps.ring.next
+	p.next.prev = p
+	ps.ring.next = p
+	return p
+}
+
+// homeOf returns the target ranked first for the preamble by rendezvous hash. The walk over the targets
+// is done once for each preamble and set of pipelines.
+func (s *service) homeOf(p *preamble) *target {
+	if p.homeKnown {
+		return p.home
+	}
+	p.homeKnown = true
+	var best uint64
+	for _, t := range s.list {
+		var key [16]byte
+		binary.LittleEndian.PutUint64(key[:8], p.hash)
+		binary.LittleEndian.PutUint64(key[8:], t.hash)
+		if rank := xxhash.Sum64(key[:]); p.home == nil || rank > best {
+			p.home, best = t, rank
+		}
+	}
+	return p.home
+}
+
+// forgetHomes makes homes be computed anew after the pipelines have changed.
+func (ps *preambles) forgetHomes() {
+	for _, p := range ps.rows {
+		p.home, p.homeKnown = nil, false
+	}
+}
+
+// suspect forgets that the target holds any preamble, after events about its cache were lost.
+func (ps *preambles) suspect(t *target) {
+	for _, p := range ps.rows {
+		p.drop(t)
+	}
+}
