Add the load benchmark over the decision core

Cause: nothing measured the policy against the hardware bound or against simple routers. Change: test/benchload plays six scenarios with two and five kinds of accelerators in simulated time, with eight hosts, late loads and late grants, beside round robin, least reported load, power of two choices and the policy without admission control.

--- /dev/null
+++ b/test/benchload/run.go
@@ -0,0 +1,248 @@
+package benchload
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Config describes a run of the benchmark.
+type Config struct {
+	Seed uint64
+	// Only limits the run to scenarios whose name contains it.
+	Only string
+	// Options change the policy for a trial.
+	Options Options
+	// Table receives the table for people, Lines one JSON object a figure.
+	Table io.Writer
+	Lines io.Writer
+}
+
+// figure is one line of the result. Bounds are stated aims, never taken from a measurement.
+type figure struct {
+	Name     string   `json:"name"`
+	Value    float64  `json:"value"`
+	Unit     string   `json:"unit"`
+	Bound    *float64 `json:"bound"`
+	Baseline *float64 `json:"baseline"`
+	Pass     *bool    `json:"pass"`
+}
+
+type contender struct {
+	name  string
+	build func(*world) router
+}
+
+func contenders(options Options) []contender {
+	open := options
+	open.NoAdmission = true
+	return []contender{
+		{"policy", func(w *world) router { return newPolicy(w, options) }},
+		{"round_robin", func(w *world) router { return newBaseline(w, roundRobin) }},
+		{"least_reported", func(w *world) router { return newBaseline(w, leastReported) }},
+		{"two_choices", func(w *world) router { return newBaseline(w, twoChoices) }},
+		{"no_admission", func(w *world) router { return newPolicy(w, open) }},
+	}
+}
+
+func down(which func(i int, e *engine) bool) func([]*engine, bool) {
+	return func(engines []*engine, on bool) {
+		for i, e := range engines {
+			if which(i, e) {
+				e.down = on
+				e.cache = nil
+			}
+		}
+	}
+}
+
+func slowLink(engines []*engine, on bool) {
+	// A link that takes 60 ms instead of 0.2 ms is the 100-fold difference of the deployment, and more.
+	engines[0].slow = 0
+	if on {
+		engines[0].slow = 0.060
+	}
+}
+
+func scenarios(seed uint64) []scenario {
+	stage := fault{at: 20, until: 30, apply: down(func(i int, _ *engine) bool { return i == 0 })}
+	domain := fault{at: 20, until: 45, apply: down(func(_ int, e *engine) bool { return e.domain == 1 })}
+	link := fault{at: 20, until: 40, apply: slowLink}
+	var out []scenario
+	for _, k := range []int{2, 5} {
+		for _, sc := range []scenario{
+			{name: "saturated", load: 1.3, seconds: 60, from: warmUp, to: 60},
+			{name: "shift_change", load: 0.7, surge: 2, surgeAt: 20, surgeFor: 20, seconds: 60, from: 20, to: 40},
+			{name: "stage_down", load: 0.8, faults: []fault{stage}, seconds: 60, from: 20, to: 30},
+			{name: "domain_out", load: 1.3, faults: []fault{domain}, seconds: 60, from: 25, to: 45},
+			{name: "slow_link", load: 0.7, faults: []fault{link}, seconds: 60, from: 25, to: 40},
+			{name: "double_peak", load: 2, seconds: 60, from: warmUp, to: 60},
+		} {
+			sc.name = fmt.Sprintf("%s_%dkinds", sc.name, k)
+			sc.seed, sc.kinds = seed, k
+			out = append(out, sc)
+		}
+	}
+	return out
+}
+
+// Run plays every scenario under the policy and the baselines. The same seed gives the same table.
+func Run(cfg Config) error {
+	for _, sc := range scenarios(cfg.Seed) {
+		if !strings.Contains(sc.name, cfg.Only) {
+			continue
+		}
+		var worlds []*world
+		list := contenders(cfg.Options)
+		for _, c := range list {
+			w := newWorld(sc, c.build)
+			w.run()
+			worlds = append(worlds, w)
+		}
+		if err := printTable(cfg.Table, sc, list, worlds); err != nil {
+			return fmt.Errorf("print table of %s: %w", sc.name, err)
+		}
+		if err := printLines(cfg.Lines, sc, worlds); err != nil {
+			return fmt.Errorf("print figures of %s: %w", sc.name, err)
+		}
+	}
+	return nil
+}
+
+// offered returns the useful work asked for in the measured part, as a fraction of the bound.
+func (w *world) offered() float64 {
+	sum := 0.0
+	for _, c := range w.calls {
+		if c.arrived >= w.sc.from && c.arrived < w.sc.to {
+			sum += float64(c.tokens)
+		}
+	}
+	return sum / (w.sc.to - w.sc.from) / w.bound
+}
+
+func (w *world) fraction(tokens float64) float64 {
+	return tokens / (w.sc.to - w.sc.from) / w.bound
+}
+
+// shareError returns the largest deviation of a workspace's part of the useful tokens from its fair
+// part, in relation to that part.
+func (w *world) shareError() float64 {
+	capacity := w.useful / (w.sc.to - w.sc.from)
+	fair := fairShares(w.calls, w.sc.from, w.sc.to, capacity)
+	worst := 0.0
+	for i, f := range fair {
+		if f > 0 {
+			got := w.byShare[i] / (w.sc.to - w.sc.from)
+			worst = max(worst, math.Abs(got/f-1))
+		}
+	}
+	return worst
+}
+
+func ms(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+
+func printTable(out io.Writer, sc scenario, list []contender, worlds []*world) error {
+	t := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	first := worlds[0]
+	_, _ = fmt.Fprintf(t, "\n%s seed=%d bound=%.0f tokens/s offered=%.2f\n", sc.name, sc.seed, first.bound, first.offered())
+	_, _ = fmt.Fprintln(t, "router\tuseful\traw\tshare err\tdecl p50/p95/p99 ms\tsumm p50/p95/p99 ms\t"+
+		"token p50/p95/p99 ms\trecovery p50/p95/max ms\tlate\trefused\ttold ms\tresent ok\tlost")
+	for i, w := range worlds {
+		d, s := w.firsts[kinds[0].name], w.firsts[kinds[1].name]
+		_, _ = fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%.3f\t%s\t%s\t%s\t%s\t%d\t%s\t%.0f\t%d/%d\t%d\n", list[i].name,
+			w.fraction(w.useful), w.fraction(w.raw), w.shareError(), quantiles(d, 99), quantiles(s, 99),
+			quantiles(w.intervals, 99), quantiles(w.recovery, 100), w.late, w.refusals(), ms(w.told, 50),
+			w.resentOK, w.resent, w.lost)
+	}
+	return t.Flush()
+}
+
+func quantiles(h *hdrhistogram.Histogram, last float64) string {
+	return fmt.Sprintf("%.0f/%.0f/%.0f", ms(h, 50), ms(h, 95), ms(h, last))
+}
+
+func (w *world) refusals() string {
+	var parts []string
+	for _, code := range slices.Sorted(maps.Keys(w.refused)) {
+		parts = append(parts, fmt.Sprintf("%s:%d", code, w.refused[code]))
+	}
+	if len(parts) == 0 {
+		return "0"
+	}
+	return strings.Join(parts, ",")
+}
+
+func printLines(out io.Writer, sc scenario, worlds []*world) error {
+	w := worlds[0]
+	best := func(value func(*world) float64, better func(a, b float64) bool) *float64 {
+		v := value(worlds[1])
+		for _, other := range worlds[2:4] {
+			if x := value(other); better(x, v) {
+				v = x
+			}
+		}
+		return &v
+	}
+	more := func(a, b float64) bool { return a > b }
+	less := func(a, b float64) bool { return a < b }
+	useful := func(w *world) float64 { return w.fraction(w.useful) }
+	var figures []figure
+	add := func(name, unit string, value func(*world) float64, better func(a, b float64) bool, aim float64) {
+		f := figure{Name: sc.name + "/" + name, Value: value(w), Unit: unit, Baseline: best(value, better)}
+		if aim > 0 {
+			pass := f.Value == aim || better(f.Value, aim)
+			f.Bound, f.Pass = &aim, &pass
+		}
+		figures = append(figures, f)
+	}
+	switch {
+	case strings.HasPrefix(sc.name, "saturated"):
+		add("useful", "fraction of bound", useful, more, 0.95)
+	case strings.HasPrefix(sc.name, "domain_out"):
+		add("useful", "fraction of bound", useful, more, 0.90)
+	default:
+		add("useful", "fraction of bound", useful, more, 0)
+	}
+	shareAim := 0.0
+	if strings.HasPrefix(sc.name, "saturated") {
+		shareAim = 0.05
+	}
+	add("share_error", "relative", (*world).shareError, less, shareAim)
+	for _, k := range kinds {
+		for _, q := range []float64{50, 95, 99} {
+			aim := 0.0
+			if q == 95 {
+				aim = k.firstToken * 1000
+			}
+			add(fmt.Sprintf("first_token_%s_p%.0f", k.name, q), "ms",
+				func(w *world) float64 { return ms(w.firsts[k.name], q) }, less, aim)
+		}
+	}
+	for _, q := range []float64{50, 95, 99} {
+		aim := 0.0
+		if q == 95 {
+			aim = 49
+		}
+		add(fmt.Sprintf("token_interval_p%.0f", q), "ms", func(w *world) float64 { return ms(w.intervals, q) }, less, aim)
+	}
+	if w.recovery.TotalCount() > 0 {
+		for _, q := range []float64{50, 95, 100} {
+			add(fmt.Sprintf("recovery_p%.0f", q), "ms", func(w *world) float64 { return ms(w.recovery, q) }, less, 0)
+		}
+	}
+	add("refused", "requests", func(w *world) float64 { return float64(w.told.TotalCount()) }, less, 0)
+	encoder := json.NewEncoder(out)
+	for _, f := range figures {
+		if err := encoder.Encode(f); err != nil {
+			return fmt.Errorf("encode figure %s: %w", f.Name, err)
+		}
+	}
+	return nil
+}
