Split demand over pipelines and round grants once

Cause: each pipeline was divided by the whole demand of a host, in whole slots per workspace, so the same hosts lost the rounding at every pipeline and slots stayed unused below saturation. Change: a pipeline sees its part of the demand; division works in parts of slots and rounds once for each host, with a phase taken from the pipeline's name.

--- a/internal/core/share/divide.go
+++ b/internal/core/share/divide.go
@@ -15,8 +15,9 @@
 	Priority int
 	// Weight is the workspace's share within its class; values below 1 count as 1.
 	Weight int
-	// Wanted is the number of requests that run or wait.
-	Wanted int
+	// Wanted is the number of requests that run or wait, in so far as they fall to the pipeline: a host
+	// with several pipelines wants of each the part that it has of all their slots.
+	Wanted float64
 }
 
 // Demand is what one workspace wants through one host.
@@ -41,7 +42,7 @@
 func (d Demand) Priority() int { return d.cfg.Priority }
 
 // Wanted returns the number of slots asked for.
-func (d Demand) Wanted() int { return d.cfg.Wanted }
+func (d Demand) Wanted() float64 { return d.cfg.Wanted }
 
 // Grant is the number of slots that a host may use.
 type Grant struct {
@@ -61,7 +62,12 @@
 // max-min fairness, and within a workspace to hosts by max-min fairness. Slots that nobody wants are
 // spread evenly, so that a host with a new request need not wait for the next division. The result
 // depends only on the arguments, not on their order.
-func Divide(slots int, demands []Demand) []Grant {
+func Divide(slots int, demands []Demand) []Grant { return divide(slots, 0, demands) }
+
+// divide works in parts of slots and rounds once for each host at the end: with few slots and many
+// workspaces, rounding each share by itself would give the same hosts too little everywhere. The
+// phase, between 0 and 1, moves the rounding so that different pipelines favour different hosts.
+func divide(slots int, phase float64, demands []Demand) []Grant {
 	sorted := slices.Clone(demands)
 	slices.SortFunc(sorted, func(a, b Demand) int {
 		return cmp.Or(
@@ -74,16 +80,35 @@
 	if len(grants) == 0 {
 		return nil
 	}
-	left := max(slots, 0)
+	parts := make([]float64, len(grants))
+	left := float64(max(slots, 0))
 	for len(sorted) > 0 && left > 0 {
 		n := runLength(sorted, func(a, b Demand) bool { return a.cfg.Priority == b.cfg.Priority })
-		left -= divideClass(left, sorted[:n], grants)
+		left -= divideClass(left, sorted[:n], grants, parts)
 		sorted = sorted[n:]
 	}
-	spread(left, grants)
+	for i := range parts {
+		parts[i] += max(left, 0) / float64(len(parts))
+	}
+	round(max(slots, 0), phase, parts, grants)
 	return grants
 }
 
+// round turns parts into whole slots whose sum is exact; each host gets its part rounded up or down.
+func round(slots int, phase float64, parts []float64, grants []Grant) {
+	sum, before := 0.0, 0
+	for i, p := range parts {
+		sum += p
+		// Sums of parts miss whole numbers by rounding errors far below this.
+		upto := min(int(sum+phase+1e-6), slots)
+		if i == len(parts)-1 {
+			upto = slots
+		}
+		grants[i].slots = upto - before
+		before = upto
+	}
+}
+
 func hosts(demands []Demand) []Grant {
 	var grants []Grant
 	for _, d := range demands {
@@ -110,100 +135,59 @@
 }
 
 // divideClass divides slots between the workspaces of one class and returns the number given.
-func divideClass(slots int, demands []Demand, grants []Grant) int {
-	var parts []claimant
+func divideClass(slots float64, demands []Demand, grants []Grant, parts []float64) float64 {
+	var claims []claimant
 	var groups [][]Demand
 	for rest := demands; len(rest) > 0; {
 		n := runLength(rest, func(a, b Demand) bool { return a.cfg.Workspace == b.cfg.Workspace })
-		part := claimant{}
+		claim := claimant{}
 		for _, d := range rest[:n] {
-			part.wanted += d.cfg.Wanted
-			part.weight = max(part.weight, d.cfg.Weight)
+			claim.wanted += d.cfg.Wanted
+			claim.weight = max(claim.weight, float64(d.cfg.Weight))
 		}
-		parts = append(parts, part)
+		claims = append(claims, claim)
 		groups = append(groups, rest[:n])
 		rest = rest[n:]
 	}
-	given := fill(slots, parts)
+	given := fill(slots, claims)
 	for i, group := range groups {
 		within := make([]claimant, len(group))
 		for j, d := range group {
 			within[j] = claimant{wanted: d.cfg.Wanted, weight: 1}
 		}
-		fill(parts[i].given, within)
+		fill(claims[i].given, within)
 		for j, d := range group {
 			at, _ := find(grants, d.cfg.Host)
-			grants[at].slots += within[j].given
+			parts[at] += within[j].given
 		}
 	}
 	return given
 }
 
 type claimant struct {
-	wanted int
-	weight int
-	given  int
+	wanted float64
+	weight float64
+	given  float64
 }
 
-// fill divides slots by weighted max-min fairness and returns the number given. Whole slots left by
-// rounding go one each to the claimants in order, so equal input gives equal output.
-func fill(slots int, parts []claimant) int {
+// fill divides slots by weighted max-min fairness and returns the number given: claimants are
+// satisfied in the order of their demand for each unit of weight.
+func fill(slots float64, claims []claimant) float64 {
+	order := make([]int, len(claims))
+	weight := 0.0
+	for i := range claims {
+		order[i] = i
+		weight += claims[i].weight
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(claims[a].wanted/claims[a].weight, claims[b].wanted/claims[b].weight)
+	})
 	left := slots
-	for left > 0 {
-		weight := 0
-		for _, p := range parts {
-			if p.given < p.wanted {
-				weight += p.weight
-			}
-		}
-		if weight == 0 {
-			break
-		}
-		round, gave := left, 0
-		for i := range parts {
-			p := &parts[i]
-			if p.given < p.wanted {
-				n := min(round*p.weight/weight, p.wanted-p.given)
-				p.given += n
-				gave += n
-			}
-		}
-		left -= gave
-		if gave == 0 {
-			left -= fillRemainder(left, parts)
-		}
+	for _, i := range order {
+		c := &claims[i]
+		c.given = min(c.wanted, left*c.weight/weight)
+		left -= c.given
+		weight -= c.weight
 	}
 	return slots - left
 }
-
-// fillRemainder gives single slots to the claimants furthest below their share.
-func fillRemainder(slots int, parts []claimant) int {
-	gave := 0
-	for ; slots > 0; slots-- {
-		best := -1
-		for i, p := range parts {
-			if p.given >= p.wanted {
-				continue
-			}
-			if best < 0 || (p.given+1)*parts[best].weight < (parts[best].given+1)*p.weight {
-				best = i
-			}
-		}
-		if best < 0 {
-			return gave
-		}
-		parts[best].given++
-		gave++
-	}
-	return gave
-}
-
-func spread(slots int, grants []Grant) {
-	each, more := slots/len(grants), slots%len(grants)
-	for i := range grants {
-		grants[i].slots += each
-		if i < more {
-			grants[i].slots++
-		}
-	}
-}
--- a/internal/core/share/ledger.go
+++ b/internal/core/share/ledger.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingplank/internal/core/table"
 )
 
@@ -13,6 +15,8 @@
 
 // LedgerConfig describes a Ledger.
 type LedgerConfig struct {
+	// Pipeline is the name of the pipeline; it decides which hosts rounding favours.
+	Pipeline string
 	// Lifetime of a grant; zero means DefaultLifetime.
 	Lifetime time.Duration
 	// Slack is the change in slots that is not worth moving a grant for; zero moves every change.
@@ -24,6 +28,7 @@
 type Ledger struct {
 	lifetime time.Duration
 	slack    int
+	phase    float64
 	held     map[table.HostID]*entry
 }
 
@@ -44,7 +49,7 @@
 	if cfg.Lifetime <= 0 {
 		cfg.Lifetime = DefaultLifetime
 	}
-	return &Ledger{lifetime: cfg.Lifetime, slack: max(cfg.Slack, 0), held: map[table.HostID]*entry{}}
+	return &Ledger{lifetime: cfg.Lifetime, slack: max(cfg.Slack, 0), phase: phase(cfg.Pipeline), held: map[table.HostID]*entry{}}
 }
 
 // Lifetime returns how long a grant holds after it was received.
@@ -56,7 +61,7 @@
 // so slots move to another host only after the earlier promise has expired or was confirmed by
 // Confirm.
 func (l *Ledger) Update(now time.Time, slots int, demands []Demand) []Grant {
-	grants := Divide(slots, demands)
+	grants := divide(slots, l.phase, demands)
 	l.expire(now)
 	for i := range grants {
 		if e, ok := l.held[grants[i].host]; ok && abs(grants[i].slots-e.slots) <= l.slack && e.slots > 0 {
@@ -115,6 +120,10 @@
 	e.slots, e.until = slots, until
 }
 
+func phase(pipeline string) float64 {
+	return float64(xxhash.Sum64String(pipeline)>>11) / (1 << 53)
+}
+
 func abs(n int) int {
 	if n < 0 {
 		return -n
--- a/test/benchload/policy.go
+++ b/test/benchload/policy.go
@@ -76,7 +76,7 @@
 		list = append(list, routing.PipelineConfig{
 			Pipeline: e.pipeline, Slots: e.slots, Interval: time.Duration(e.base * float64(time.Second)),
 		})
-		p.ledgers = append(p.ledgers, share.NewLedger(share.LedgerConfig{Slack: options.GrantSlack}))
+		p.ledgers = append(p.ledgers, share.NewLedger(share.LedgerConfig{Pipeline: e.pipeline.ID(), Slack: options.GrantSlack}))
 	}
 	queue := 512
 	if options.NoAdmission {
@@ -192,27 +192,17 @@
 		p.demands[r.key] = r.d
 	}
 	p.reports = rest
-	var demands []share.Demand
-	for _, k := range p.keys {
-		d := p.demands[k]
-		weight := 1
-		for _, ws := range workspaces {
-			if ws.id == k.workspace && !p.options.NoAdmission {
-				weight = ws.weight
-			}
-		}
-		demands = append(demands, share.NewDemand(share.DemandConfig{
-			Host: hostName(k.host), Workspace: k.workspace, Priority: k.priority, Weight: weight,
-			Wanted: d.Running() + d.Queued(),
-		}))
-	}
 	if now < divideEvery {
 		return
 	}
 	p.turn++
+	total := 0
+	for _, e := range p.w.engines {
+		total += e.slots
+	}
 	for i, e := range p.w.engines {
 		byHost := map[table.HostID]int{}
-		for _, g := range p.ledgers[i].Update(clock(now), e.slots, demands) {
+		for _, g := range p.ledgers[i].Update(clock(now), e.slots, p.demandFor(float64(e.slots)/float64(total))) {
 			byHost[g.Host()] = g.Slots()
 		}
 		for host := range hostCount {
@@ -223,6 +213,25 @@
 	}
 }
 
+// demandFor returns the known demand in so far as it falls to a pipeline with the given part of all slots.
+func (p *policy) demandFor(part float64) []share.Demand {
+	var demands []share.Demand
+	for _, k := range p.keys {
+		d := p.demands[k]
+		weight := 1
+		for _, ws := range workspaces {
+			if ws.id == k.workspace && !p.options.NoAdmission {
+				weight = ws.weight
+			}
+		}
+		demands = append(demands, share.NewDemand(share.DemandConfig{
+			Host: hostName(k.host), Workspace: k.workspace, Priority: k.priority, Weight: weight,
+			Wanted: float64(d.Running()+d.Queued()) * part,
+		}))
+	}
+	return demands
+}
+
 func hostName(host int) table.HostID { return table.HostID(fmt.Sprintf("host-%d", host)) }
 
 // reportLoads plays the owners' polling: load and cache events reach the hosts late, and events get lost.
