Probe failed pipelines only when a load report shows life

Cause: with a failure domain out, every host sent a request a second to each dead pipeline, and each such probe cost its request the second until the silence was noticed. Change: a probe needs a load report of every stage taken after the failure, or 8 s without one; failed probes double their distance; recovery requests are never probes.

--- a/internal/core/routing/health.go
+++ b/internal/core/routing/health.go
@@ -37,6 +37,8 @@
 	healthFloor = 1.0 / 64
 	// probeInterval spaces the single requests that go to an endpoint with no work left.
 	probeInterval = time.Second
+	// maxProbeInterval bounds how long a restored pipeline may stay unused by a host.
+	maxProbeInterval = 8 * time.Second
 	// degradedBelow is the health under which an endpoint counts as bad for the pool guard.
 	degradedBelow = 0.5
 	// slowRatio is the excess of the token interval over the pipeline's own baseline that is still
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -138,7 +138,7 @@
 	}
 	s.count(r, 1, -1)
 	if t.factor() < 1 {
-		t.probeAt = now.Add(probeInterval)
+		t.probeAt = now.Add(max(t.probeEvery, probeInterval))
 		heap.Push(&s.wakes, wakeEntry{at: t.probeAt, target: t})
 	}
 	t.service.refresh(now, s.hosts, t)
@@ -222,7 +222,8 @@
 	}
 	cause := Cause("")
 	switch {
-	case t.availAt < 0 && t.factor() < 1:
+	case t.availAt < 0 && t.factor() < 1, t.probing && r.cfg.Recovery:
+		// A stream that has failed before is not put at risk by a probe.
 		cause = CauseHealth
 	case t.availAt < 0:
 		cause = CauseFull
--- a/internal/core/routing/requests.go
+++ b/internal/core/routing/requests.go
@@ -165,6 +165,7 @@
 
 func (s *System) succeed(t *target) {
 	t.health.succeed()
+	t.probeEvery = 0
 	for _, e := range t.endpoints {
 		if e.health.v < 1 {
 			e.health.succeed()
@@ -264,8 +265,15 @@
 	s.punish(now, t)
 }
 
+// punish spaces the next probe of a pipeline after a failure. A failed probe doubles the distance, since
+// each one costs a request the time until the failure is noticed.
 func (s *System) punish(now time.Time, t *target) {
-	t.probeAt = now.Add(probeInterval)
-	heap.Push(&s.wakes, wakeEntry{at: t.probeAt, target: t})
+	t.failedAt = now
+	heap.Push(&s.wakes, wakeEntry{at: now.Add(maxProbeInterval), target: t})
+	if !now.Before(t.probeAt) {
+		t.probeEvery = min(max(2*t.probeEvery, probeInterval), maxProbeInterval)
+		t.probeAt = now.Add(t.probeEvery)
+		heap.Push(&s.wakes, wakeEntry{at: t.probeAt, target: t})
+	}
 	s.touch(now, t)
 }
--- a/internal/core/routing/service.go
+++ b/internal/core/routing/service.go
@@ -90,11 +90,13 @@
 // refresh recomputes whether the target may take a request now.
 func (s *service) refresh(now time.Time, hosts Hosts, t *target) {
 	limit := 0
+	t.probing = false
 	if !t.removed {
 		limit = t.share(now, hosts)
 		if f := t.factor(); f < 1 && !s.guard {
 			reduced := int(float64(limit) * f)
-			if reduced == 0 && limit > 0 && !now.Before(t.probeAt) {
+			t.probing = reduced == 0
+			if t.probing && limit > 0 && t.probeDue(now) {
 				reduced = 1
 			}
 			limit = reduced
--- a/internal/core/routing/system.go
+++ b/internal/core/routing/system.go
@@ -105,7 +105,7 @@
 	case Grants:
 		s.setGrants(now, e.list)
 	case Load:
-		s.setLoad(e.list)
+		s.setLoad(now, e.list)
 	case CacheEvents:
 		s.cacheEvents(e)
 	}
@@ -239,7 +239,7 @@
 	}
 }
 
-func (s *System) setLoad(list []LoadConfig) {
+func (s *System) setLoad(now time.Time, list []LoadConfig) {
 	for _, l := range list {
 		e, ok := s.endpoints[l.Endpoint]
 		if !ok || l.Measured.Before(e.loadAt) {
@@ -247,6 +247,11 @@
 		}
 		e.loadAt = l.Measured
 		e.load = float64(l.Running+l.Queued) / float64(max(l.Slots, 1))
+		for _, t := range e.targets {
+			if t.probing {
+				t.service.refresh(now, s.hosts, t)
+			}
+		}
 	}
 }
 
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -41,12 +41,15 @@
 	baseline   ewma
 	firstToken ewma
 
-	probeAt  time.Time
-	pace     pace
-	limit    int
-	degraded bool
-	availAt  int
-	removed  bool
+	probeAt    time.Time
+	probeEvery time.Duration
+	probing    bool
+	failedAt   time.Time
+	pace       pace
+	limit      int
+	degraded   bool
+	availAt    int
+	removed    bool
 }
 
 func newTarget(svc *service, cfg PipelineConfig) *target {
@@ -83,6 +86,20 @@
 	return f
 }
 
+// probeDue reports whether a pipeline without work may get one request. A load report taken after the
+// failure shows that the stages answer again; without one, a probe waits for the longest interval.
+func (t *target) probeDue(now time.Time) bool {
+	if now.Before(t.probeAt) {
+		return false
+	}
+	for _, e := range t.endpoints {
+		if !e.loadAt.IsZero() && !e.loadAt.After(t.failedAt) {
+			return !now.Before(t.failedAt.Add(maxProbeInterval))
+		}
+	}
+	return true
+}
+
 // measure adds a token interval in seconds. A pipeline that is much slower than its own long-term
 // baseline keeps the part of its work that its speed allows; pipelines of slower accelerators are thus
 // not mistaken for degraded ones.
--- a/test/benchload/policy.go
+++ b/test/benchload/policy.go
@@ -241,9 +241,14 @@
 			continue
 		}
 		first := e.pipeline.Stages()[0].Endpoint()
-		load := routing.NewLoad(routing.LoadConfig{
-			Endpoint: first, Running: len(e.running), Queued: len(e.waiting), Slots: e.slots, Measured: clock(now),
-		})
+		var loads []routing.LoadConfig
+		for _, stage := range e.pipeline.Stages() {
+			loads = append(loads, routing.LoadConfig{
+				Endpoint: stage.Endpoint(), Running: len(e.running), Queued: len(e.waiting), Slots: e.slots,
+				Measured: clock(now),
+			})
+		}
+		load := routing.NewLoad(loads...)
 		var changes []routing.CacheEventConfig
 		for _, c := range e.takeEvents(now, lag, p.rng) {
 			kind := routing.CacheEvicted
