Let requests with a cached preamble go first within bounds

Cause: when saturated, one slot is free at a time, so the choice of a pipeline cannot follow the prefix caches. Change: a request near the head of the queue whose preamble a free pipeline holds may go first, within its own flow or from the next two, at most eight times past the same head and never past one within 500 ms of its deadline.

--- a/internal/core/admission/item.go
+++ b/internal/core/admission/item.go
@@ -43,6 +43,7 @@
 	recovery   bool
 	parked     bool
 	repeatable bool
+	bypassed   int
 	class      *class
 	flow       *flow
 	prev, next *item
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -205,6 +205,42 @@
 	return "", false, false
 }
 
+const (
+	// scanOwn and scanOthers bound the requests looked at in the flow that is next and in the flows after it.
+	scanOwn    = 8
+	scanOthers = 4
+	// maxBypass bounds how often the request that is next may be passed over, so that it starts late by
+	// no more than this many slots.
+	maxBypass = 8
+)
+
+// Scan calls suits for a few requests that might be served instead of the one that is next, and returns
+// the first that suits. Within the flow of the next request this moves no share at all; the heads of the
+// two flows after it are charged like any other, so their workspaces wait longer afterwards.
+func (q *Queue) Scan(next table.RequestID, suits func(table.RequestID) bool) (table.RequestID, bool) {
+	head, ok := q.items[next]
+	if !ok || head.recovery || head.bypassed >= maxBypass {
+		return "", false
+	}
+	c := head.class
+	for i, f := range c.active[:min(3, len(c.active))] {
+		n := scanOthers
+		if i == 0 {
+			n = scanOwn
+		}
+		for it := f.head; it != nil && n > 0; it, n = it.next, n-1 {
+			if !suits(it.id) {
+				continue
+			}
+			if it != head {
+				head.bypassed++
+			}
+			return it.id, true
+		}
+	}
+	return "", false
+}
+
 // RecoveryAhead returns the number of waiting recovery requests of the class and the classes above it.
 func (q *Queue) RecoveryAhead(priority int) int {
 	n := 0
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"math"
 	"time"
+
+	"waxwingplank/internal/core/table"
 )
 
 const (
@@ -37,6 +39,9 @@
 		if !ok {
 			break
 		}
+		if !recovery {
+			id = s.preferCached(now, svc, id)
+		}
 		r := s.requests[id]
 		d := &Dispatch{request: id, service: svc.id, waited: now.Sub(r.arrived), retry: r.retry}
 		d.recovery = recovery && !r.retry
@@ -61,6 +66,37 @@
 	s.preempt(svc)
 }
 
+// preferCached returns a request near the head of the queue whose preamble a free pipeline holds, or the
+// head itself. Where slots are scarce the choice of a pipeline is small, but that of a request is not.
+func (s *System) preferCached(now time.Time, svc *service, head table.RequestID) table.RequestID {
+	if len(svc.preambles.rows) == 0 || s.hurried(now, head) {
+		return head
+	}
+	id, ok := svc.queue.Scan(head, func(id table.RequestID) bool {
+		p, ok := svc.preambles.rows[s.requests[id].cfg.Preamble]
+		if !ok {
+			return false
+		}
+		for _, t := range p.holders[:p.n] {
+			if t.availAt >= 0 {
+				return true
+			}
+		}
+		return false
+	})
+	if !ok {
+		return head
+	}
+	return id
+}
+
+// hurried reports whether the deadline of the request is too near to let others go first.
+func (s *System) hurried(now time.Time, id table.RequestID) bool {
+	const near = 500 * time.Millisecond
+	d := s.requests[id].cfg.Deadline
+	return !d.IsZero() && d.Sub(now) < near
+}
+
 // dispatchParked tries requests again that could not use the pipelines that were free before.
 func (s *System) dispatchParked(now time.Time, svc *service) {
 	tries := min(len(svc.parked), maxParkedTries)
