Give preambles two home pipelines and weigh the cache against load

Cause: the cache hit rate was 0.33 at 0.72 load: the expected time of a whole answer outweighed the prefill saved, and each spilled request displaced a true holder from memory. Change: two homes per preamble by rendezvous hash; the choice compares load as part of the slots, plus half of the slots for a miss, a quarter for twice the mean interval, and slowness against the pipeline's own baseline.

--- a/internal/core/routing/health.go
+++ b/internal/core/routing/health.go
@@ -18,6 +18,14 @@
 	e.v += weight * (v - e.v)
 }
 
+// ratio returns the mean in relation to another mean, or 1 where either is unknown.
+func (e *ewma) ratio(other ewma) float64 {
+	if !e.ok || !other.ok || other.v <= 0 {
+		return 1
+	}
+	return e.v / other.v
+}
+
 func (e *ewma) or(other float64) float64 {
 	if e.ok {
 		return e.v
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -18,16 +18,10 @@
 	loadMemory = time.Second
 	// loadShare is the most that a fresh load report counts against own in-flight counts.
 	loadShare = 0.5
-	// cachedFirstToken is the part of the time to the first token that remains with the preamble cached,
-	// until it has been measured: preambles are the larger part of a prompt.
-	cachedFirstToken = 0.3
-	// assumedFirstToken and assumedInterval stand in until the service has been measured. Only their
-	// ratio matters, since all pipelines get the same values.
-	assumedFirstToken = 0.2
-	assumedInterval   = 0.03
-	// answerTokens bounds the tokens counted in the expected time, so that a long answer does not
-	// outweigh the wait for the first token altogether.
-	answerTokens = 256
+	// missCost is the difference in load up to which the pipeline that holds a preamble is preferred.
+	missCost = 0.5
+	// speedShare is the difference in load that twice the mean token interval is worth.
+	speedShare = 0.25
 )
 
 // dispatch sends waiting requests to free slots, in the order of the queue.
@@ -66,28 +60,37 @@
 	s.preempt(svc)
 }
 
-// preferCached returns a request near the head of the queue whose preamble a free pipeline holds, or the
-// head itself. Where slots are scarce the choice of a pipeline is small, but that of a request is not.
+// preferCached returns a request near the head of the queue whose preamble belongs to a free pipeline, or
+// is held by one, or else the head itself. Where slots are scarce the choice of a pipeline is small, but
+// that of a request is not.
 func (s *System) preferCached(now time.Time, svc *service, head table.RequestID) table.RequestID {
 	if len(svc.preambles.rows) == 0 || s.hurried(now, head) {
 		return head
 	}
 	id, ok := svc.queue.Scan(head, func(id table.RequestID) bool {
 		p, ok := svc.preambles.rows[s.requests[id].cfg.Preamble]
-		if !ok {
-			return false
-		}
-		for _, t := range p.holders[:p.n] {
-			if t.availAt >= 0 {
-				return true
-			}
-		}
-		return false
+		return ok && anyFree(svc.homesOf(p))
 	})
-	if !ok {
-		return head
+	if ok {
+		return id
 	}
-	return id
+	id, ok = svc.queue.Scan(head, func(id table.RequestID) bool {
+		p, ok := svc.preambles.rows[s.requests[id].cfg.Preamble]
+		return ok && anyFree(p.holders[:p.n])
+	})
+	if ok {
+		return id
+	}
+	return head
+}
+
+func anyFree(targets []*target) bool {
+	for _, t := range targets {
+		if t.availAt >= 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // hurried reports whether the deadline of the request is too near to let others go first.
@@ -229,7 +232,7 @@
 	switch {
 	case seen <= 1:
 		d.cause = CauseOnly
-	case r.cfg.Preamble != 0 && svc.preambles.touch(r.cfg.Preamble).holds(best):
+	case r.cfg.Preamble != 0 && svc.preambles.touch(r.cfg.Preamble).belongs(best):
 		d.cause = CauseCache
 	default:
 		d.cause = CauseFaster
@@ -237,18 +240,18 @@
 	return best
 }
 
-// considerHolders looks at the two latest holders of the preamble, or at its home where none is known.
+// considerHolders looks at the homes of the preamble and at its two latest holders.
 func (s *System) considerHolders(r *request, consider func(*target)) {
 	if r.cfg.Preamble == 0 {
 		return
 	}
 	p := r.service.preambles.touch(r.cfg.Preamble)
+	for _, t := range r.service.homesOf(p) {
+		consider(t)
+	}
 	for i := p.n - 1; i >= 0 && i >= p.n-2; i-- {
 		consider(p.holders[i])
 	}
-	if home := r.service.homeOf(p); p.n == 0 && home != nil {
-		consider(home)
-	}
 }
 
 // usable reports whether the target may take the request, and notes the cause where it may not.
@@ -276,26 +279,25 @@
 	return false
 }
 
-// expected estimates the seconds until the answer is complete. Own in-flight counts against the share
-// come first; a load report is a hint that loses weight with its age.
+// expected returns the cost of sending the request to the target, in parts of the target's slots.
+//
+// Own in-flight counts against the share come first; a load report is a hint that loses weight with its
+// age. A pipeline that is slower than its own baseline, or than the service's mean, costs more, and so
+// does one that must compute the preamble anew.
 func (s *service) expected(now time.Time, r *request, t *target) float64 {
-	own := float64(t.inflight) / float64(max(t.limit, 1))
-	load := own
-	e := t.busiest()
-	if !e.loadAt.IsZero() {
+	load := float64(t.inflight) / float64(max(t.limit, 1))
+	if e := t.busiest(); !e.loadAt.IsZero() {
 		w := loadShare * math.Exp(-now.Sub(e.loadAt).Seconds()/loadMemory.Seconds())
-		load += w * (e.load - own)
+		load += w * (e.load - load)
 	}
-	first := t.firstToken.or(s.firstToken.or(assumedFirstToken))
-	if r.cfg.Preamble != 0 && s.preambles.touch(r.cfg.Preamble).holds(t) {
-		first *= cachedFirstToken
+	cost := load
+	if r.cfg.Preamble != 0 && !s.preambles.touch(r.cfg.Preamble).belongs(t) {
+		cost += missCost
 	}
 	if s.plain {
-		return first * (1 + load)
+		return cost + speedShare*t.firstToken.ratio(s.firstToken)
 	}
-	interval := t.interval.or(s.interval.or(assumedInterval))
-	tokens := min(answerTokens, float64(r.cfg.MaxTokens), s.tokens.or(answerTokens))
-	return (first + tokens*interval) * (1 + load)
+	return cost + speedShare*t.interval.ratio(s.interval) + max(0, t.interval.ratio(t.baseline)-1)
 }
 
 func (t *target) busiest() *endpoint {
--- a/internal/core/routing/preamble.go
+++ b/internal/core/routing/preamble.go
@@ -12,6 +12,9 @@
 	// maxHolders bounds the pipelines remembered for one preamble; more would gain nothing, since the
 	// choice looks at two of them.
 	maxHolders = 4
+	// maxHomes is the number of pipelines that a preamble belongs to. A second one takes the load of a
+	// popular preamble; more would need that much more cache memory for every preamble.
+	maxHomes = 2
 )
 
 // preamble remembers which pipelines hold the KV cache of a shared preamble.
@@ -19,8 +22,10 @@
 	hash    uint64
 	holders [maxHolders]*target
 	n       int
-	// home is where hosts without cache knowledge send the preamble; all hosts compute the same.
-	home       *target
+	// homes are where the preamble goes by preference; all hosts compute the same, so they fill the same
+	// caches without a message.
+	homes      [maxHomes]*target
+	homesN     int
 	homeKnown  bool
 	prev, next *preamble
 }
@@ -34,6 +39,16 @@
 	return false
 }
 
+// belongs reports whether the target holds the preamble or is one of its homes.
+func (p *preamble) belongs(t *target) bool {
+	for _, h := range p.homes[:p.homesN] {
+		if h == t {
+			return true
+		}
+	}
+	return p.holds(t)
+}
+
 func (p *preamble) add(t *target) {
 	if p.holds(t) {
 		return
@@ -89,29 +104,38 @@
 	return p
 }
 
-// homeOf returns the target ranked first for the preamble by rendezvous hash. The walk over the targets
+// homesOf returns the targets ranked first for the preamble by rendezvous hash. The walk over the targets
 // is done once for each preamble and set of pipelines.
-func (s *service) homeOf(p *preamble) *target {
+func (s *service) homesOf(p *preamble) []*target {
 	if p.homeKnown {
-		return p.home
+		return p.homes[:p.homesN]
 	}
 	p.homeKnown = true
-	var best uint64
+	var ranks [maxHomes]uint64
 	for _, t := range s.list {
 		var key [16]byte
 		binary.LittleEndian.PutUint64(key[:8], p.hash)
 		binary.LittleEndian.PutUint64(key[8:], t.hash)
-		if rank := xxhash.Sum64(key[:]); p.home == nil || rank > best {
-			p.home, best = t, rank
+		rank := xxhash.Sum64(key[:])
+		at := p.homesN
+		for at > 0 && rank > ranks[at-1] {
+			at--
+		}
+		if at == maxHomes {
+			continue
 		}
+		copy(ranks[at+1:], ranks[at:])
+		copy(p.homes[at+1:], p.homes[at:])
+		ranks[at], p.homes[at] = rank, t
+		p.homesN = min(p.homesN+1, maxHomes)
 	}
-	return p.home
+	return p.homes[:p.homesN]
 }
 
 // forgetHomes makes homes be computed anew after the pipelines have changed.
 func (ps *preambles) forgetHomes() {
 	for _, p := range ps.rows {
-		p.home, p.homeKnown = nil, false
+		p.homes, p.homesN, p.homeKnown = [maxHomes]*target{}, 0, false
 	}
 }
 
--- a/test/benchload/engine.go
+++ b/test/benchload/engine.go
@@ -58,6 +58,8 @@
 	sequence uint64
 	events   []cacheEvent
 	index    int
+	opened   int
+	hits     int
 }
 
 func newEngines(kinds, pipelines int) []*engine {
@@ -135,7 +137,10 @@
 
 func (e *engine) begin(now float64, c *call) {
 	prompt := suffixTokens + c.generated
-	if !e.hit(c.preamble) {
+	e.opened++
+	if e.hit(c.preamble) {
+		e.hits++
+	} else {
 		prompt += preambleTokens
 	}
 	c.prefill = float64(prompt) / promptPerWork
--- a/test/benchload/run.go
+++ b/test/benchload/run.go
@@ -146,18 +146,28 @@
 	return worst
 }
 
+// hitRate returns the part of the attempts that found their preamble in the cache.
+func (w *world) hitRate() float64 {
+	hits, opened := 0, 0
+	for _, e := range w.engines {
+		hits += e.hits
+		opened += e.opened
+	}
+	return float64(hits) / float64(max(opened, 1))
+}
+
 func ms(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 
 func printTable(out io.Writer, sc scenario, list []contender, worlds []*world) error {
 	t := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	first := worlds[0]
 	_, _ = fmt.Fprintf(t, "\n%s seed=%d bound=%.0f tokens/s offered=%.2f\n", sc.name, sc.seed, first.bound, first.offered())
-	_, _ = fmt.Fprintln(t, "router\tuseful\traw\tshare err\tdecl p50/p95/p99 ms\tsumm p50/p95/p99 ms\t"+
+	_, _ = fmt.Fprintln(t, "router\tuseful\traw\thits\tshare err\tdecl p50/p95/p99 ms\tsumm p50/p95/p99 ms\t"+
 		"token p50/p95/p99 ms\trecovery p50/p95/max ms\tlate\trefused\ttold ms\tresent ok\tlost")
 	for i, w := range worlds {
 		d, s := w.firsts[kinds[0].name], w.firsts[kinds[1].name]
-		_, _ = fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%.3f\t%s\t%s\t%s\t%s\t%d\t%s\t%.0f\t%d/%d\t%d\n", list[i].name,
-			w.fraction(w.useful), w.fraction(w.raw), w.shareError(), quantiles(d, 99), quantiles(s, 99),
+		_, _ = fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%.2f\t%.3f\t%s\t%s\t%s\t%s\t%d\t%s\t%.0f\t%d/%d\t%d\n", list[i].name,
+			w.fraction(w.useful), w.fraction(w.raw), w.hitRate(), w.shareError(), quantiles(d, 99), quantiles(s, 99),
 			quantiles(w.intervals, 99), quantiles(w.recovery, 100), w.late, w.refusals(), ms(w.told, 50),
 			w.resentOK, w.resent, w.lost)
 	}
