Estimate waits from the rate that higher classes leave; let idle flows keep credit

Cause: the estimate counted waiting work of higher classes but not their further arrivals, so requests were refused at their deadline instead of early. Small workspaces, which seldom wait at every host, lost the turns that passed while their flow was idle. Change: the estimate subtracts what higher classes took over the last 2 s. A flow that becomes active may lag by two requests.

--- a/internal/core/admission/flow.go
+++ b/internal/core/admission/flow.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"math"
+	"time"
 
 	"waxwingplank/internal/core/table"
 )
@@ -50,6 +52,11 @@
 	f.cost -= it.cost
 }
 
+// credit is the number of requests by which a flow that was idle may lag behind the others and still
+// catch up. Small workspaces seldom have a request waiting at every host, and would otherwise lose the
+// turns that pass in between.
+const credit = 2
+
 // flowHeap orders flows with waiting requests by start tag.
 type flowHeap []*flow
 
@@ -97,6 +104,25 @@
 	cost         float64
 	recoveryCost float64
 	activeWeight float64
+	// Work taken from the queue a second, over about the last servedWindow.
+	served   float64
+	servedAt time.Time
+}
+
+// servedWindow is long enough to smooth single requests and short enough to follow a shift change.
+const servedWindow = 2 * time.Second
+
+// servedRate returns the work a second that the class has taken lately.
+func (c *class) servedRate(now time.Time) float64 {
+	if c.servedAt.IsZero() {
+		return 0
+	}
+	return c.served * math.Exp(-now.Sub(c.servedAt).Seconds()/servedWindow.Seconds())
+}
+
+func (c *class) noteServed(now time.Time, cost float64) {
+	c.served = c.servedRate(now) + cost/servedWindow.Seconds()
+	c.servedAt = now
 }
 
 func newClass(priority int) *class {
@@ -144,7 +170,7 @@
 	f := it.flow
 	f.append(it)
 	if f.activeAt < 0 {
-		f.start = max(c.virtual, f.finish)
+		f.start = max(c.virtual-credit*it.cost/f.weight, f.finish)
 		c.activeWeight += f.weight
 		heap.Push(&c.active, f)
 	}
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -94,7 +94,7 @@
 	if earlier, ok := q.keys[itemKey{cfg.Workspace, cfg.Key}]; ok && cfg.Key != "" {
 		return q.join(earlier, cfg)
 	}
-	wait := q.estimate(c, f)
+	wait := q.estimate(now, c, f)
 	if _, ok := q.items[cfg.Request]; ok {
 		return Result{verdict: Duplicate, wait: wait}
 	}
@@ -256,11 +256,12 @@
 func (q *Queue) Waiting(priority int) int { return q.class(priority).queued }
 
 // Take removes a request that goes to an endpoint and charges its workspace for it.
-func (q *Queue) Take(id table.RequestID) {
+func (q *Queue) Take(now time.Time, id table.RequestID) {
 	it, ok := q.items[id]
 	if !ok {
 		return
 	}
+	it.class.noteServed(now, it.cost)
 	if !it.recovery {
 		it.class.serve(it.flow, it.cost)
 	}
@@ -314,29 +315,34 @@
 }
 
 // Wait estimates how long a new request of the workspace would wait.
-func (q *Queue) Wait(priority int, workspace table.WorkspaceID, weight int) time.Duration {
+func (q *Queue) Wait(now time.Time, priority int, workspace table.WorkspaceID, weight int) time.Duration {
 	c := q.class(priority)
-	return q.estimate(c, c.flow(workspace, weight))
+	return q.estimate(now, c, c.flow(workspace, weight))
 }
 
-// estimate divides the work that will be served before a new request of the flow by the measured rate.
-// Fair queueing serves the flow at its share of the class, but never later than the whole class.
-func (q *Queue) estimate(c *class, f *flow) time.Duration {
+// estimate divides the work that will be served before a new request of the flow by the rate that the
+// higher classes leave. Fair queueing serves the flow at its share of the class, but never later than
+// the whole class.
+func (q *Queue) estimate(now time.Time, c *class, f *flow) time.Duration {
 	if q.rate <= 0 {
 		return 0
 	}
-	ahead := c.recoveryCost
+	// leastRest keeps the estimate finite while higher classes use everything for a moment.
+	const leastRest = 0.05
+	ahead, rate := c.recoveryCost, q.rate
 	for _, other := range q.classes {
 		if other.priority < c.priority {
 			ahead += other.cost
+			rate -= other.servedRate(now)
 		}
 	}
+	rate = max(rate, q.rate*leastRest)
 	weights := c.activeWeight
 	if f.activeAt < 0 {
 		weights += f.weight
 	}
 	ahead += min(c.cost-c.recoveryCost, f.cost*weights/f.weight)
-	return time.Duration(ahead / q.rate * float64(time.Second))
+	return time.Duration(ahead / rate * float64(time.Second))
 }
 
 func (q *Queue) discard(it *item) {
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -45,7 +45,7 @@
 		}
 		t := s.pick(now, r, d)
 		if t != nil {
-			svc.queue.Take(id)
+			svc.queue.Take(now, id)
 			s.start(now, r, t, d)
 			continue
 		}
@@ -116,7 +116,7 @@
 			continue
 		}
 		r.parked = false
-		svc.queue.Take(r.cfg.Request)
+		svc.queue.Take(now, r.cfg.Request)
 		s.start(now, r, t, d)
 	}
 }
--- a/internal/core/routing/requests.go
+++ b/internal/core/routing/requests.go
@@ -47,7 +47,7 @@
 		s.supersede(res.Replaced())
 	}
 	if victim := res.Replaced(); victim != "" && res.Verdict() == admission.Admitted {
-		s.displace(victim)
+		s.displace(now, victim)
 	}
 	s.requests[cfg.Request] = r
 	s.count(r, 0, 1)
@@ -73,13 +73,13 @@
 }
 
 // displace ends a waiting request that gave way to one of a higher class or a smaller workspace.
-func (s *System) displace(id table.RequestID) {
+func (s *System) displace(now time.Time, id table.RequestID) {
 	r, ok := s.requests[id]
 	if !ok {
 		return
 	}
 	s.forget(r)
-	wait := r.service.queue.Wait(r.cfg.Priority, r.cfg.Workspace, r.cfg.Weight)
+	wait := r.service.queue.Wait(now, r.cfg.Priority, r.cfg.Workspace, r.cfg.Weight)
 	s.refuse(r, outcome.QueueFull, "the request gave way to one with a better claim to the queue", wait)
 }
 
@@ -98,7 +98,7 @@
 			continue
 		}
 		s.forget(r)
-		wait := svc.queue.Wait(r.cfg.Priority, r.cfg.Workspace, r.cfg.Weight)
+		wait := svc.queue.Wait(now, r.cfg.Priority, r.cfg.Workspace, r.cfg.Weight)
 		s.refuse(r, outcome.Timeout, "the deadline passed while the request waited", wait)
 	}
 }
--- a/test/benchload/run.go
+++ b/test/benchload/run.go
@@ -78,7 +78,7 @@
 	var out []scenario
 	for _, k := range []int{2, 5} {
 		for _, sc := range []scenario{
-			{name: "saturated", load: 1.3, seconds: 60, from: warmUp, to: 60},
+			{name: "saturated", load: 1.3, seconds: 160, from: warmUp, to: 160},
 			{name: "shift_change", load: 0.7, surge: 2, surgeAt: 20, surgeFor: 20, seconds: 60, from: 20, to: 40},
 			{name: "stage_down", load: 0.8, faults: []fault{stage}, seconds: 60, from: 20, to: 30},
 			{name: "domain_out", load: 1.3, faults: []fault{domain}, seconds: 60, from: 25, to: 45},
