Look further along the queue for cached preambles

Change: the scan covers eight requests in each of six flows instead of eight, four and four. A gap in cache events now advances a counter instead of walking all preambles.

--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -208,7 +208,9 @@
 const (
 	// scanOwn and scanOthers bound the requests looked at in the flow that is next and in the flows after it.
 	scanOwn    = 8
-	scanOthers = 4
+	scanOthers = 8
+	// scanFlows bounds the flows looked at.
+	scanFlows = 6
 	// maxBypass bounds how often the request that is next may be passed over, so that it starts late by
 	// no more than this many slots.
 	maxBypass = 8
@@ -223,7 +225,7 @@
 		return "", false
 	}
 	c := head.class
-	for i, f := range c.active[:min(3, len(c.active))] {
+	for i, f := range c.active[:min(scanFlows, len(c.active))] {
 		n := scanOthers
 		if i == 0 {
 			n = scanOwn
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -76,7 +76,7 @@
 	}
 	id, ok = svc.queue.Scan(head, func(id table.RequestID) bool {
 		p, ok := svc.preambles.rows[s.requests[id].cfg.Preamble]
-		return ok && anyFree(p.holders[:p.n])
+		return ok && p.heldByFree()
 	})
 	if ok {
 		return id
@@ -84,6 +84,15 @@
 	return head
 }
 
+func (p *preamble) heldByFree() bool {
+	for _, h := range p.holders[:p.n] {
+		if h.target.availAt >= 0 && h.current() {
+			return true
+		}
+	}
+	return false
+}
+
 func anyFree(targets []*target) bool {
 	for _, t := range targets {
 		if t.availAt >= 0 {
@@ -250,7 +259,7 @@
 		consider(t)
 	}
 	for i := p.n - 1; i >= 0 && i >= p.n-2; i-- {
-		consider(p.holders[i])
+		consider(p.holders[i].target)
 	}
 }
 
--- a/internal/core/routing/preamble.go
+++ b/internal/core/routing/preamble.go
@@ -17,10 +17,19 @@
 	maxHomes = 2
 )
 
+// holder is a pipeline that held a preamble, with the number of gaps in its cache events until then.
+type holder struct {
+	target *target
+	gaps   int
+}
+
+// current reports whether no cache event was lost since; an eviction may be among the lost ones.
+func (h holder) current() bool { return h.gaps == h.target.cacheGaps }
+
 // preamble remembers which pipelines hold the KV cache of a shared preamble.
 type preamble struct {
 	hash    uint64
-	holders [maxHolders]*target
+	holders [maxHolders]holder
 	n       int
 	// homes are where the preamble goes by preference; all hosts compute the same, so they fill the same
 	// caches without a message.
@@ -32,8 +41,8 @@
 
 func (p *preamble) holds(t *target) bool {
 	for _, h := range p.holders[:p.n] {
-		if h == t {
-			return true
+		if h.target == t {
+			return h.current()
 		}
 	}
 	return false
@@ -50,23 +59,21 @@
 }
 
 func (p *preamble) add(t *target) {
-	if p.holds(t) {
-		return
-	}
+	p.drop(t)
 	if p.n == maxHolders {
 		copy(p.holders[:], p.holders[1:])
 		p.n--
 	}
-	p.holders[p.n] = t
+	p.holders[p.n] = holder{target: t, gaps: t.cacheGaps}
 	p.n++
 }
 
 func (p *preamble) drop(t *target) {
 	for i, h := range p.holders[:p.n] {
-		if h == t {
+		if h.target == t {
 			copy(p.holders[i:p.n], p.holders[i+1:p.n])
 			p.n--
-			p.holders[p.n] = nil
+			p.holders[p.n] = holder{}
 			return
 		}
 	}
@@ -138,10 +145,3 @@
 		p.homes, p.homesN, p.homeKnown = [maxHomes]*target{}, 0, false
 	}
 }
-
-// suspect forgets that the target holds any preamble, after events about its cache were lost.
-func (ps *preambles) suspect(t *target) {
-	for _, p := range ps.rows {
-		p.drop(t)
-	}
-}
--- a/internal/core/routing/system.go
+++ b/internal/core/routing/system.go
@@ -256,7 +256,7 @@
 }
 
 // cacheEvents updates what is known of prefix caches. After a gap an eviction may have been missed, so
-// what was known of the endpoint is forgotten, except what this host itself sent there later.
+// what was known of the endpoint before no longer counts.
 func (s *System) cacheEvents(e CacheEvents) {
 	ep, ok := s.endpoints[e.endpoint]
 	if !ok {
@@ -275,7 +275,7 @@
 			}
 			ps := &t.service.preambles
 			if gap {
-				ps.suspect(t)
+				t.cacheGaps++
 			}
 			switch c.Kind {
 			case CacheStored:
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -50,6 +50,8 @@
 	degraded   bool
 	availAt    int
 	removed    bool
+	// Gaps in the cache events so far.
+	cacheGaps int
 }
 
 func newTarget(svc *service, cfg PipelineConfig) *target {
