--- a/test/benchload/run.go
+++ b/test/benchload/run.go
@@ -113,6 +113,9 @@
 			return fmt.Errorf("print figures of %s: %w", sc.name, err)
 		}
 	}
+	if strings.Contains("decision", cfg.Only) {
+		return Decide(cfg)
+	}
 	return nil
 }
 
