--- a/internal/core/stream/pace.go
+++ b/internal/core/stream/pace.go
@@ -88,6 +88,25 @@
 	return out
 }
 
+// evict takes the recoveries out of the queues of all pipelines that use the endpoint.
+func (p *pacer) evict(id table.EndpointID) []*row {
+	var out []*row
+	for name, q := range p.queues {
+		if len(q.rows) == 0 || !q.rows[0].pipeline.Uses(id) {
+			continue
+		}
+		for _, r := range q.rows {
+			if r.queued {
+				r.queued = false
+				out = append(out, r)
+			}
+		}
+		delete(p.queues, name)
+	}
+	sortRows(out)
+	return out
+}
+
 func (p *pacer) best(blocked map[string]bool) (string, *queue) {
 	var id string
 	var found *queue
--- a/internal/core/stream/system.go
+++ b/internal/core/stream/system.go
@@ -41,6 +41,7 @@
 	pace      *pacer
 	deadlines deadlines
 	delayed   deadlines
+	suspects  map[table.EndpointID]time.Time
 	out       []Decision
 }
 
@@ -53,6 +54,8 @@
 		streams: table.New[table.StreamID, *row](),
 		byStage: map[table.EndpointID]map[table.StreamID]*row{},
 		pace:    newPacer(cfg),
+
+		suspects: map[table.EndpointID]time.Time{},
 	}
 }
 
@@ -74,6 +77,7 @@
 	for _, e := range events {
 		s.apply(now, e)
 	}
+	s.forgetSuspects(now)
 	s.expire(now)
 	s.resume(now)
 	for _, r := range s.pace.take(now) {
@@ -144,7 +148,7 @@
 		subject:  r.subject(),
 		priority: r.open.Priority,
 		since:    r.since,
-		avoid:    append([]table.EndpointID(nil), r.avoid...),
+		avoid:    s.avoid(r),
 		prefer:   prefer,
 		recovery: r.state == Recovering,
 	})
@@ -267,6 +271,7 @@
 	}
 	for _, id := range f.Avoid {
 		r.avoid = addOnce(r.avoid, id)
+		s.suspect(now, id)
 	}
 	if r.used >= s.cfg.MaxAttempts {
 		s.cancel(r)
@@ -287,6 +292,7 @@
 
 // crashed gives up the running attempts on an endpoint, without waiting for each stream to notice.
 func (s *System) crashed(now time.Time, id table.EndpointID) {
+	s.suspect(now, id)
 	for _, r := range ordered(s.byStage[id]) {
 		s.recover(now, r, FailedConfig{
 			Stream:    r.open.Stream,
--- a/internal/daemon/streams/attempt.go
+++ b/internal/daemon/streams/attempt.go
@@ -96,7 +96,7 @@
 	}
 	if a.method == stream.Regenerate {
 		a.verifyTo, a.position, a.chain = s.next, 0, seal.Chain{}
-		s.text = nil
+		s.text.clear()
 	}
 	v, err := s.r.cfg.Loop.ask(ctx, s.fingerprint,
 		quarantine.NewStarted(s.key, s.fingerprint, endpointsOf(a.pipeline)))
@@ -176,7 +176,7 @@
 		KVHandle:  handle,
 	}
 	if s.textKnown && a.method != stream.Regenerate {
-		req.Generated = s.text[:s.next:s.next]
+		req.Generated = s.text.tokens(s.next)
 	}
 	return req
 }
@@ -281,7 +281,7 @@
 	a.position++
 	a.chain = a.chain.Next(t.text)
 	if s.textKnown || a.method == stream.Regenerate {
-		s.text = append(s.text, t.text)
+		s.text.add(t.text)
 	}
 	if t.position < a.verifyTo {
 		return a.verify(), true
--- a/internal/daemon/streams/fault.go
+++ b/internal/daemon/streams/fault.go
@@ -36,6 +36,8 @@
 	CanMove bool
 	Avoid   []table.EndpointID
 	Crashed []table.EndpointID
+	// Lost lists endpoints that are down, but were not crashed by this attempt.
+	Lost []table.EndpointID
 }
 
 // report tells the core how the attempt ended.
@@ -73,6 +75,9 @@
 	facts := a.examine(ctx, e)
 	a.logFailure(e, facts)
 	a.reportFailed(facts)
+	for _, id := range facts.Lost {
+		s.r.cfg.Loop.endpointLost(id)
+	}
 	for _, id := range facts.Crashed {
 		s.r.counters.crashes.Add(1)
 		s.r.cfg.Loop.EndpointCrashed(id, a.before[id])
@@ -90,8 +95,11 @@
 		}
 		facts.Healthy = false
 		facts.Avoid = append(facts.Avoid, id)
-		if a.crashed(e, id, found[id]) {
+		switch {
+		case a.crashed(e, id, found[id]):
 			facts.Crashed = append(facts.Crashed, id)
+		case found[id] == down:
+			facts.Lost = append(facts.Lost, id)
 		}
 	}
 	facts.CanMove = facts.Healthy
--- a/internal/daemon/streams/loop.go
+++ b/internal/daemon/streams/loop.go
@@ -125,6 +125,11 @@
 	})
 }
 
+// endpointLost reports that an endpoint is gone, where no stream can have crashed it.
+func (l *Loop) endpointLost(id table.EndpointID) {
+	l.post(inbox{streams: []stream.Event{stream.NewEndpointCrashed(id)}})
+}
+
 // Step applies what came in and carries out or hands on the decisions.
 func (l *Loop) Step(ctx context.Context, now time.Time) {
 	l.mu.Lock()
--- a/internal/daemon/streams/session.go
+++ b/internal/daemon/streams/session.go
@@ -31,7 +31,7 @@
 	next  int
 	chain seal.Chain
 	// text holds the delivered tokens from position 0 where textKnown; max_tokens bounds it.
-	text      []string
+	text      transcript
 	textKnown bool
 
 	checker      *receipt.Checker
--- a/test/fakeengine/pipelines.go
+++ b/test/fakeengine/pipelines.go
@@ -17,11 +17,12 @@
 	used    map[string]int
 	changed chan struct{}
 	asked   []streams.PipelineRequest
+	ejected map[table.EndpointID]bool
 }
 
 // NewPipelines returns pipelines with so many slots each.
 func NewPipelines(slots int, all ...table.Pipeline) *Pipelines {
-	return &Pipelines{all: all, slots: slots, used: map[string]int{}, changed: make(chan struct{})}
+	return &Pipelines{all: all, slots: slots, used: map[string]int{}, ejected: map[table.EndpointID]bool{}, changed: make(chan struct{})}
 }
 
 // Asked returns the requests so far.
@@ -42,6 +43,13 @@
 	return n
 }
 
+// Eject keeps new streams away from an endpoint, as a router does that knows of its fault.
+func (p *Pipelines) Eject(id table.EndpointID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ejected[id] = true
+}
+
 // Acquire implements streams.Pipelines.
 func (p *Pipelines) Acquire(ctx context.Context, req streams.PipelineRequest) (streams.Grant, error) {
 	p.mu.Lock()
@@ -76,7 +84,7 @@
 	best, bestCost := -1, 0
 	for i, pl := range p.all {
 		free := p.slots - p.used[pl.ID()]
-		if free <= 0 {
+		if free <= 0 || p.out(pl) {
 			continue
 		}
 		cost := cost(pl, req)*p.slots - free
@@ -93,6 +101,15 @@
 	return streams.Grant{Pipeline: pl, FreeSlots: free}, true
 }
 
+func (p *Pipelines) out(pl table.Pipeline) bool {
+	for id := range p.ejected {
+		if pl.Uses(id) {
+			return true
+		}
+	}
+	return false
+}
+
 func cost(p table.Pipeline, req streams.PipelineRequest) int {
 	n := 2
 	if p.ID() == req.Prefer {
