--- /dev/null
+++ b/test/system/process.go
@@ -0,0 +1,141 @@
+package system
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// startTimeout bounds the time until a process says that it serves.
+const startTimeout = 10 * time.Second
+
+// Process is one process of the system.
+type Process struct {
+	name    string
+	address string
+	cmd     *exec.Cmd
+	done    chan struct{}
+	err     error
+}
+
+// Name returns the name of the process, which is also the name of its log file.
+func (p *Process) Name() string { return p.name }
+
+// Address returns the address that the process serves.
+func (p *Process) Address() string { return p.address }
+
+// PID returns the process number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Kill ends the process at once, as a failed machine does.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Freeze stops the process without ending it; its connections stay open.
+func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Stop asks the process to end and waits for it.
+func (p *Process) Stop(ctx context.Context) error {
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return eris.Wrapf(err, "stop %s", p.name)
+	}
+	select {
+	case <-p.done:
+		return p.err
+	case <-ctx.Done():
+		return eris.Wrapf(ctx.Err(), "stop %s", p.name)
+	}
+}
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// spawn starts a program; its output goes to a file in dir.
+func spawn(dir, name, program string, args ...string) (*Process, *bufio.Reader, error) {
+	cmd := exec.Command(program, args...) //nolint:noctx // The process outlives the call that starts it.
+	log, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "system.spawn")
+	}
+	cmd.Stderr = log
+	read, write, err := os.Pipe()
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "system.spawn")
+	}
+	cmd.Stdout = write
+	// The process ends with its parent, so that a failed test leaves nothing behind.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, nil, eris.Wrapf(err, "start %s", name)
+	}
+	_ = write.Close()
+	p := &Process{name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	return p, bufio.NewReader(read), nil
+}
+
+// spawnStandin starts a stand-in and waits for the line with its address.
+func spawnStandin(dir, bin, name string, args ...string) (*Process, error) {
+	p, out, err := spawn(dir, name, filepath.Join(bin, "standin"), args...)
+	if err != nil {
+		return nil, err
+	}
+	line, err := readLine(out)
+	if err != nil {
+		p.Kill()
+		return nil, eris.Wrapf(err, "start %s", name)
+	}
+	var started struct{ Address string }
+	if err := json.Unmarshal(line, &started); err != nil {
+		p.Kill()
+		return nil, eris.Wrapf(err, "start %s: %q", name, line)
+	}
+	p.address = started.Address
+	return p, nil
+}
+
+func readLine(out *bufio.Reader) ([]byte, error) {
+	type result struct {
+		line []byte
+		err  error
+	}
+	got := make(chan result, 1)
+	go func() {
+		line, err := out.ReadBytes('\n')
+		got <- result{line: line, err: err}
+	}()
+	select {
+	case r := <-got:
+		return r.line, r.err
+	case <-time.After(startTimeout):
+		return nil, fmt.Errorf("no output within %s", startTimeout)
+	}
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "system.freeAddress")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
