--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -138,7 +138,7 @@
 	}
 	d.fleet = fleet.New(fleet.Config{
 		Engines: d.engine, Journal: d.journal, Post: d.dispatcher.Post, Clock: time.Now,
-		OnIncarnation: d.runner.SetIncarnation, OnCrash: d.loop.EndpointCrashed,
+		OnIncarnation: d.runner.SetIncarnation, OnCrash: d.endpointRestarted,
 	})
 	d.members.OnDocument(func(doc document.Document) {
 		d.journal.Decision("", "document_adopted", journal.Fields{
@@ -292,3 +292,9 @@
 	}
 	d.dispatcher.Post(routing.NewHosts(len(live), rank))
 }
+
+// endpointRestarted only reports a restart seen by a load read. Streams are not told: those that the restart
+// broke see it on their connections, and a read comes so late that new streams run there already.
+func (d *Daemon) endpointRestarted(id table.EndpointID, incarnation uint64) {
+	d.journal.Decision("", "endpoint_restarted", journal.Fields{"endpoint": string(id), "ended_incarnation": incarnation})
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -26,6 +26,7 @@
 	step        atomic.Int64
 	next        *http.Client
 	incarnation atomic.Uint64
+	crashes     atomic.Int64
 	address     string
 	closing     chan struct{}
 	crashed     chan struct{}
@@ -152,6 +153,7 @@
 // Crash resets all connections, loses all streams and comes back with a new incarnation on the same
 // address after the downtime.
 func (s *Server) Crash() {
+	s.crashes.Add(1)
 	s.mu.Lock()
 	if s.down || s.closed() {
 		s.mu.Unlock()
@@ -266,6 +268,9 @@
 			answer(w, map[string]uint64{"incarnation": s.Incarnation()})
 			s.background.Go(s.Crash)
 		})
+		r.Get("/standin/crashes", func(w http.ResponseWriter, _ *http.Request) {
+			answer(w, map[string]int64{"crashes": s.crashes.Load()})
+		})
 		r.Post("/standin/settings", s.postSettings)
 	})
 	return r
