Test membership, documents and the host protocol under faults

The tests found these faults, now fixed: - a dead host that restarted and was leaving at once stayed dead on hosts that heard of the death first (merge order property); - a watcher of an empty object store listed it in a loop without a pause; - the core probed silent relays by walking its failure domain on each tick; - a relay fetched documents only from hosts it sends heartbeats to, so that a change accepted just before an outage could stay on the accepting host (found while reading, covered by platform-gone-after-accept).

Adds the benchmark of the core.

--- a/internal/core/document/parse.go
+++ b/internal/core/document/parse.go
@@ -44,6 +44,7 @@
 		return Document{}, fmt.Errorf("document: %w", err)
 	}
 	r := reader{data: data, lines: map[string]int{}}
+	r.root = r.at(&root)
 	cfg := Config{Limits: Limits{Queue: defaultQueue, MaxTokens: defaultMaxTokens, TimeoutMs: defaultTimeoutMs}}
 	if err := r.config(&root, &cfg); err != nil {
 		return Document{}, err
@@ -61,6 +62,7 @@
 type reader struct {
 	data  []byte
 	lines map[string]int
+	root  int
 }
 
 func (r *reader) line(path string) int {
@@ -70,7 +72,7 @@
 		}
 		path = parent(path)
 	}
-	return 1
+	return r.root
 }
 
 func parent(path string) string {
--- a/internal/core/membership/address.go
+++ b/internal/core/membership/address.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 
 	"waxwingplank/internal/core/table"
@@ -72,7 +73,10 @@
 		if a.load != b.load {
 			return a.load - b.load
 		}
-		return byRank(key, a.row.rec.ID, b.row.rec.ID)
+		if a.rank != b.rank {
+			return cmp.Compare(b.rank, a.rank)
+		}
+		return cmp.Compare(a.row.rec.ID, b.row.rec.ID)
 	})
 	if q.Limit > 0 && len(list) > q.Limit {
 		list = list[:q.Limit]
--- a/internal/core/membership/apply.go
+++ b/internal/core/membership/apply.go
@@ -68,6 +68,10 @@
 	s.touchAll(r)
 	switch {
 	case rec.State != Live:
+		if r.life == Dead || r.life == Gone || r.life == Leaving {
+			// Only a restart takes a host out of the end of an earlier run.
+			s.fire(r, restarted)
+		}
 		s.enter(r, rec.State)
 	case first && r.life == Unknown:
 		// The caller decides whether a host heard of for the first time can be reached.
--- a/internal/core/membership/contact.go
+++ b/internal/core/membership/contact.go
@@ -188,6 +188,10 @@
 // recheck probes relays of the own failure domain that stopped answering, so that one whose
 // connection failed comes back without waiting for its heartbeat.
 func (s *System) recheck() {
+	if s.now.Before(s.nextRecheck) {
+		return
+	}
+	s.nextRecheck = s.now.Add(askEvery)
 	for _, r := range s.order[s.cfg.Self.FailureDomain] {
 		id := r.rec.ID
 		if (r.life != Live && r.life != Unknown) || !s.silentContact(id) {
--- a/internal/core/membership/force.go
+++ b/internal/core/membership/force.go
@@ -54,9 +54,9 @@
 	}
 	var best *row
 	for service, g := range s.lacking {
-		for id, c := range s.contacts {
-			r := s.rows[id]
-			if r == nil || c.failing || r.gens[service].number < g {
+		for id, r := range s.rows {
+			c := s.contacts[id]
+			if r.life != Live || r.gens[service].number < g || (c != nil && c.failing) {
 				continue
 			}
 			if best == nil || s.preferred(r, best) {
--- a/internal/core/membership/system.go
+++ b/internal/core/membership/system.go
@@ -56,6 +56,7 @@
 	lacking      map[string]uint64
 	fetching     time.Time
 	nextFetch    time.Time
+	nextRecheck  time.Time
 	force        map[string]*inForce
 	forceDirty   bool
 	forceChecked time.Time
--- a/internal/daemon/documents/apply.go
+++ b/internal/daemon/documents/apply.go
@@ -67,6 +67,11 @@
 		if err != nil {
 			return document.Document{}, err
 		}
+		if sent && theirs.Generation() > next.Generation() {
+			// The lost write may have been the generation that this one replaced.
+			return document.Document{}, fmt.Errorf("documents.Apply %s: generation %d is stored by now: %w",
+				next.Service(), theirs.Generation(), ErrUnknown)
+		}
 		if theirs.Generation() != expected {
 			return document.Document{}, &Conflict{expected: expected, yours: next, theirs: theirs}
 		}
--- a/internal/daemon/members/documents.go
+++ b/internal/daemon/members/documents.go
@@ -37,6 +37,10 @@
 	m.post(membership.NewDocumentAdopted(string(d.Service()), d.Generation()))
 }
 
+// Accepted adopts a document that this host has written to the platform for an operator, so that
+// the change spreads even if the platform goes before any watch shows it.
+func (m *Members) Accepted(d document.Document) { m.adopt(d, "operator") }
+
 // FetchDocuments returns the documents that the asking host lacks, as many as fit into one reply.
 func (m *Members) FetchDocuments(_ context.Context, in *hostpb.FetchDocumentsRequest) (*hostpb.FetchDocumentsReply, error) {
 	out := &hostpb.FetchDocumentsReply{}
@@ -96,16 +100,17 @@
 // watchDocuments watches the platform's documents while this host is the one of its failure domain
 // that does.
 func (m *Members) watchDocuments() {
-	var after int64
+	// after is the version to watch from; negative means that a listing is due.
+	after := int64(-1)
 	var listed time.Time
 	for m.ctx.Err() == nil {
 		if !m.watches() {
-			after = 0
+			after = -1
 			m.sleep(roleEvery)
 			continue
 		}
 		var err error
-		if after == 0 || time.Since(listed) > listEvery {
+		if after < 0 || time.Since(listed) > listEvery {
 			listed = time.Now()
 			after, err = m.listDocuments()
 		} else {
@@ -113,7 +118,7 @@
 		}
 		if err != nil {
 			m.cfg.Log.WithError(err).Warn("the object API gave no documents; those in force stay")
-			after = 0
+			after = -1
 			m.sleep(retryEvery)
 		}
 	}
@@ -137,8 +142,10 @@
 		lower = m.takeObject(o) || lower
 	}
 	if snapshot.Reset || snapshot.Version < after || lower {
-		// The platform was restored to an older state, so only a listing tells what it has.
-		return 0, nil
+		// The platform was restored to an older state, so only a listing tells what it has. The
+		// pause keeps a store that resets every watch from being listed without end.
+		m.sleep(roleEvery)
+		return -1, nil
 	}
 	return snapshot.Version, nil
 }
--- /dev/null
+++ b/test/benchmembers/run.go
@@ -0,0 +1,280 @@
+package benchmembers
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"waxwingplank/internal/core/membership"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/peer/host"
+	"waxwingplank/internal/peer/hostpb"
+)
+
+// The bounds that the design page states.
+const (
+	boundBytes       = 27_000.0
+	boundCPU         = 3.3
+	boundMemory      = 32e6
+	boundDetect      = 2.0
+	boundAdopt       = 3.0
+	boundAdoptLarge  = 15.0
+	boundFalseDeaths = 0.0
+	boundCalls       = 2000.0
+)
+
+// Figure is one line of output. Bound and Baseline are null where there is none.
+type Figure struct {
+	Name     string   `json:"name"`
+	Value    float64  `json:"value"`
+	Unit     string   `json:"unit"`
+	Bound    *float64 `json:"bound"`
+	Baseline *float64 `json:"baseline"`
+	Pass     bool     `json:"pass"`
+}
+
+// sizes are the numbers of hosts and failure domains.
+var sizes = []struct{ hosts, domains int }{{8, 3}, {16, 3}, {32, 3}, {64, 6}, {128, 12}, {410, 12}}
+
+// Run measures every size and prints one JSON line a figure whose name contains the filter.
+func Run(w io.Writer, filter string) error {
+	enc := json.NewEncoder(w)
+	for _, size := range sizes {
+		for _, measure := range []func(int, int) []Figure{steady, detection, lossAndPauses, adoption} {
+			for _, f := range measure(size.hosts, size.domains) {
+				if !strings.Contains(f.Name, filter) {
+					continue
+				}
+				if err := enc.Encode(f); err != nil {
+					return fmt.Errorf("benchmembers: print %s: %w", f.Name, err)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func figure(name string, hosts int, value float64, unit string, bound float64) Figure {
+	return Figure{Name: fmt.Sprintf("members/%s/%d", name, hosts), Value: value, Unit: unit, Bound: &bound, Pass: value <= bound}
+}
+
+// counter encodes and decodes each message as the daemon does, and counts bytes and time.
+type counter struct {
+	bytes map[table.HostID]int
+	busy  map[table.HostID]time.Duration
+}
+
+func newCounter() *counter {
+	return &counter{bytes: map[table.HostID]int{}, busy: map[table.HostID]time.Duration{}}
+}
+
+// carry moves one message and charges each side with the bytes and half of the time.
+func (c *counter) carry(from, to table.HostID, m, out proto.Message) {
+	began := time.Now()
+	b, err := proto.Marshal(m)
+	if err == nil {
+		err = proto.Unmarshal(b, out)
+	}
+	if err != nil {
+		panic(err)
+	}
+	half := time.Since(began) / 2
+	for _, id := range []table.HostID{from, to} {
+		c.bytes[id] += len(b)
+		c.busy[id] += half
+	}
+}
+
+// Heartbeat implements Carry.
+func (c *counter) Heartbeat(from, to table.HostID, h membership.Heartbeat, now time.Time) membership.Heartbeat {
+	out := &hostpb.HeartbeatRequest{}
+	c.carry(from, to, host.HeartbeatToWire(h, now), out)
+	return host.HeartbeatFromWire(out, now)
+}
+
+// Reply implements Carry.
+func (c *counter) Reply(from, to table.HostID, r membership.Reply, now time.Time) membership.Reply {
+	out := &hostpb.HeartbeatReply{}
+	c.carry(from, to, host.ReplyToWire(r, now), out)
+	return host.ReplyFromWire(out, now)
+}
+
+const service = "drafts"
+
+func settle(hosts, domains int, carry Carry) *Net {
+	n := NewNet(NetConfig{Hosts: hosts, Domains: domains, Regions: 3, Seed: uint64(hosts), Carry: carry})
+	n.Until(30*time.Second, func() bool {
+		return !slices.ContainsFunc(n.Nodes, func(o *Node) bool { return len(o.System.Live()) != hosts })
+	})
+	n.Run(5 * time.Second)
+	return n
+}
+
+// steady measures a minute in which every host's load changes all the time and one document changes.
+func steady(hosts, domains int) []Figure {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	c := newCounter()
+	n := settle(hosts, domains, c)
+	clear(c.bytes)
+	clear(c.busy)
+	for _, o := range n.Nodes {
+		o.busy = 0
+	}
+	n.Calls = 0
+	const seconds = 60
+	for i := range seconds {
+		for j, o := range n.Nodes {
+			n.Post(o, membership.NewLoadMeasured((i+j)%20*50))
+		}
+		if i == seconds/2 {
+			n.Write(service, 1)
+		}
+		n.Run(time.Second)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	// The figures of a role are those of its busiest host.
+	var bytes, cpu [2]float64
+	watches := 0
+	for _, o := range n.Nodes {
+		role := 0
+		if o.System.IsRelay() {
+			role = 1
+		}
+		if o.System.WatchesDocuments() {
+			watches++
+		}
+		bytes[role] = max(bytes[role], float64(c.bytes[o.Host.ID])/seconds)
+		cpu[role] = max(cpu[role], 100*(o.busy+c.busy[o.Host.ID]).Seconds()/seconds)
+	}
+	calls := float64(n.Calls)/seconds + float64(watches)*(1.0/10+1.0/30)
+	memory := float64(after.HeapAlloc-before.HeapAlloc) / float64(hosts)
+	runtime.KeepAlive(n)
+	return []Figure{
+		figure("bytes_host", hosts, bytes[0], "bytes/s", boundBytes),
+		figure("bytes_relay", hosts, bytes[1], "bytes/s", boundBytes),
+		figure("cpu_host", hosts, cpu[0], "percent of a core", boundCPU),
+		figure("cpu_relay", hosts, cpu[1], "percent of a core", boundCPU),
+		figure("memory_host", hosts, memory, "bytes", boundMemory),
+		figure("platform_calls", hosts, calls, "calls/s", boundCalls),
+	}
+}
+
+// detection kills hosts one after the other, relays too, and takes the time until the last host knows.
+func detection(hosts, domains int) []Figure {
+	const kills = 40
+	n := settle(hosts, domains, nil)
+	var took []float64
+	missed := 0
+	for i := range kills {
+		victim := n.Nodes[i*7%hosts]
+		for _, o := range n.Nodes {
+			o.Log = nil
+		}
+		// The offset spreads the deaths over the heartbeat period.
+		n.Run(time.Duration(i) * 30 * time.Millisecond)
+		began := n.Now
+		n.Kill(victim)
+		n.Run(4 * time.Second)
+		last := time.Duration(0)
+		for _, o := range n.Nodes {
+			if !o.up {
+				continue
+			}
+			at, ok := deathOf(o, victim.Host.ID)
+			if !ok {
+				missed++
+				continue
+			}
+			last = max(last, at.Sub(began))
+		}
+		took = append(took, last.Seconds())
+		n.Start(victim)
+		n.Run(5 * time.Second)
+	}
+	slices.Sort(took)
+	return []Figure{
+		figure("detect_p50", hosts, took[kills/2], "s", boundDetect),
+		figure("detect_p95", hosts, took[kills*95/100], "s", boundDetect),
+		figure("detect_max", hosts, took[kills-1], "s", boundDetect),
+		figure("detect_missed", hosts, float64(missed), "views", 0),
+	}
+}
+
+func deathOf(o *Node, id table.HostID) (time.Time, bool) {
+	for _, e := range o.Log {
+		if c, ok := e.Decision.(membership.HostChanged); ok && c.Host() == id && c.To() == membership.Dead {
+			return e.At, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// lossAndPauses runs two minutes in which 2% of the messages are lost and each second a host pauses
+// for less than the suspicion time.
+func lossAndPauses(hosts, domains int) []Figure {
+	n := settle(hosts, domains, nil)
+	n.Loss = 0.02
+	const seconds = 120
+	for i := range seconds {
+		n.Pause(n.Nodes[i*11%hosts], time.Duration(200+i*50%800)*time.Millisecond)
+		n.Run(time.Second)
+	}
+	suspects, deaths := 0, 0
+	for _, o := range n.Nodes {
+		for _, e := range o.Log {
+			c, ok := e.Decision.(membership.HostChanged)
+			if ok && c.To() == membership.Suspect {
+				suspects++
+			}
+			if ok && c.To() == membership.Dead {
+				deaths++
+			}
+		}
+	}
+	suspicions := Figure{Name: fmt.Sprintf("members/false_suspicions/%d", hosts), Value: float64(suspects), Unit: "suspicions in 120 s", Pass: true}
+	return []Figure{suspicions, figure("false_deaths", hosts, float64(deaths), "verdicts in 120 s", boundFalseDeaths)}
+}
+
+// adoption takes the time from the accept until the last host has a change.
+func adoption(hosts, domains int) []Figure {
+	bound := boundAdopt
+	if hosts > 64 {
+		bound = boundAdoptLarge
+	}
+	const changes = 10
+	n := settle(hosts, domains, nil)
+	var well, gone time.Duration
+	for i := range uint64(2 * changes) {
+		g := i + 1
+		n.PlatformUp = i < changes
+		n.Run(time.Duration(i) * 70 * time.Millisecond)
+		began := n.Now
+		n.Write(service, g)
+		if !n.PlatformUp {
+			// The accepting host is the only one that knows.
+			n.adopt(n.Nodes[int(i)*13%hosts], service, g)
+		}
+		n.Until(30*time.Second, func() bool {
+			return !slices.ContainsFunc(n.Nodes, func(o *Node) bool { return o.Docs[service] != g })
+		})
+		if n.PlatformUp {
+			well = max(well, n.Now.Sub(began))
+		} else {
+			gone = max(gone, n.Now.Sub(began))
+		}
+		n.Run(2 * time.Second)
+	}
+	return []Figure{
+		figure("adopt_platform_well", hosts, well.Seconds(), "s", bound),
+		figure("adopt_platform_gone", hosts, gone.Seconds(), "s", bound),
+	}
+}
