Add property tests and scripted cases; fix what they found

Cause: only three scripted cases guarded the policy. They found three faults, now fixed: a request that waited already could join another one's place and vanish; a later copy that took the place of a parked request was never tried again; and recovery requests waited for ever where every pipeline was in its probe phase, since they are not used as probes while others have slots. Recovery requests are now bounded too, at twice the queue.

--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -34,6 +34,10 @@
 	PerWorkspace int
 }
 
+// recoveryFactor bounds recovery requests, which may exceed Total: refusing them loses answers that were
+// begun, but a wave of resumed streams must not take all memory either.
+const recoveryFactor = 2
+
 // Result is the answer to Offer.
 type Result struct {
 	verdict  Verdict
@@ -91,14 +95,17 @@
 	c := q.class(cfg.Priority)
 	f := c.flow(cfg.Workspace, cfg.Weight)
 	cost := max(cfg.Cost, 1)
-	if earlier, ok := q.keys[itemKey{cfg.Workspace, cfg.Key}]; ok && cfg.Key != "" {
-		return q.join(earlier, cfg)
-	}
 	wait := q.estimate(now, c, f)
 	if _, ok := q.items[cfg.Request]; ok {
 		return Result{verdict: Duplicate, wait: wait}
 	}
+	if earlier, ok := q.keys[itemKey{cfg.Workspace, cfg.Key}]; ok && cfg.Key != "" {
+		return q.join(earlier, cfg)
+	}
 	res := Result{verdict: Admitted, wait: wait}
+	if cfg.Recovery && len(q.items) >= recoveryFactor*q.total {
+		return Result{verdict: Full, wait: wait}
+	}
 	if !cfg.Recovery {
 		if !cfg.Deadline.IsZero() && now.Add(wait).After(cfg.Deadline) {
 			return Result{verdict: TooLate, wait: wait}
@@ -157,7 +164,7 @@
 // join gives a later copy of a waiting request the place of the earlier copy, since the caller of the
 // earlier copy has most likely gone. A call that may not be repeated keeps its first copy.
 func (q *Queue) join(earlier *item, cfg ItemConfig) Result {
-	if !earlier.repeatable || !cfg.Repeatable || earlier.id == cfg.Request {
+	if !earlier.repeatable || !cfg.Repeatable {
 		return Result{verdict: Duplicate}
 	}
 	old := earlier.id
@@ -166,6 +173,12 @@
 	q.items[cfg.Request] = earlier
 	earlier.deadline = cfg.Deadline
 	q.schedule(earlier)
+	if earlier.parked {
+		// The later copy may have other constraints, so it is tried anew.
+		earlier.parked = false
+		earlier.flow.parked--
+		earlier.class.add(earlier)
+	}
 	return Result{verdict: Joined, replaced: old}
 }
 
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -270,8 +270,7 @@
 	}
 	cause := Cause("")
 	switch {
-	case t.availAt < 0 && t.factor() < 1, t.probing && r.cfg.Recovery:
-		// A stream that has failed before is not put at risk by a probe.
+	case t.availAt < 0 && t.factor() < 1, t.service.risky(now, r, t):
 		cause = CauseHealth
 	case t.availAt < 0:
 		cause = CauseFull
--- /dev/null
+++ b/internal/core/routing/property_test.go
@@ -0,0 +1,340 @@
+package routing
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"waxwingplank/internal/core/outcome"
+	"waxwingplank/internal/core/table"
+)
+
+// TestMain fixes the seed of the property tests, so that a failure can be repeated.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := flag.Set("rapid.seed", "20261204"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// model is what the daemon knows of a System from events and decisions alone.
+type model struct {
+	t        *rapid.T
+	s        *System
+	now      time.Time
+	plain    bool
+	hosts    int
+	slots    map[string]int
+	grants   map[string]grantModel
+	requests map[table.RequestID]*requestModel
+	ids      []table.RequestID
+	events   []Event
+}
+
+type grantModel struct {
+	slots int
+	until time.Time
+}
+
+type requestModel struct {
+	cfg        ArrivedConfig
+	running    *table.Pipeline
+	ended      bool
+	dispatches int
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, now: epoch, plain: rapid.Bool().Draw(t, "plain"), hosts: rapid.IntRange(1, 3).Draw(t, "hosts"),
+		slots: map[string]int{}, grants: map[string]grantModel{}, requests: map[table.RequestID]*requestModel{},
+	}
+	m.s = New(Config{Seed: rapid.Uint64().Draw(t, "seed"), Hosts: m.hosts})
+	m.events = append(m.events, NewLimits(LimitsConfig{Service: "s", Queue: 12, QueuePerWorkspace: 6}))
+	var pipelines []PipelineConfig
+	var plain []PlainEndpointConfig
+	for i := range rapid.IntRange(1, 5).Draw(t, "pipelines") {
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		if m.plain {
+			name := fmt.Sprint("p", i)
+			plain = append(plain, PlainEndpointConfig{Endpoint: table.EndpointID(name), Slots: slots})
+			m.slots[name] = slots
+			continue
+		}
+		// Neighbouring pipelines share a stage.
+		p := pipeline(fmt.Sprint("e", i), fmt.Sprint("e", i+1))
+		pipelines = append(pipelines, PipelineConfig{Pipeline: p, Slots: slots})
+		m.slots[p.ID()] = slots
+	}
+	if m.plain {
+		m.events = append(m.events, NewPlainEndpoints("s", plain))
+	} else {
+		m.events = append(m.events, NewPipelines("s", pipelines))
+	}
+	return m
+}
+
+func (m *model) step(i int) {
+	switch rapid.IntRange(0, 9).Draw(m.t, "step") {
+	case 0, 1, 2, 3:
+		m.arrive(fmt.Sprint("r", i))
+	case 4, 5:
+		m.end(false)
+	case 6:
+		m.end(true)
+	case 7:
+		if len(m.ids) > 0 {
+			id := rapid.SampledFrom(m.ids).Draw(m.t, "departs")
+			m.events = append(m.events, NewDeparted(id))
+			m.requests[id].ended, m.requests[id].running = true, nil
+		}
+	case 8:
+		m.grant()
+	case 9:
+		m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(m.t, "ms")) * time.Millisecond)
+	}
+}
+
+func (m *model) arrive(id string) {
+	cfg := ArrivedConfig{
+		Request: table.RequestID(id), Service: "s",
+		Workspace: table.WorkspaceID(rapid.StringMatching("[a-c]").Draw(m.t, "workspace")),
+		Priority:  rapid.IntRange(0, 2).Draw(m.t, "priority"), Weight: rapid.IntRange(1, 4).Draw(m.t, "weight"),
+		Preamble: uint64(rapid.IntRange(0, 4).Draw(m.t, "preamble")), MaxTokens: 100,
+		Recovery:  !m.plain && rapid.IntRange(0, 4).Draw(m.t, "recovery") == 0,
+		FirstSend: rapid.Bool().Draw(m.t, "first"), Repeatable: rapid.Bool().Draw(m.t, "repeatable"),
+		Key: rapid.StringMatching("|k[0-3]").Draw(m.t, "key"), Preemptible: rapid.Bool().Draw(m.t, "preemptible"),
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(m.t, "deadline")) * time.Millisecond),
+	}
+	if rapid.IntRange(0, 2).Draw(m.t, "marked") == 0 {
+		cfg.Isolation = []string{rapid.StringMatching("crash[0-2]").Draw(m.t, "crash")}
+	}
+	m.requests[cfg.Request] = &requestModel{cfg: cfg}
+	m.ids = append(m.ids, cfg.Request)
+	m.events = append(m.events, NewArrived(cfg))
+}
+
+// end finishes or fails a running request.
+func (m *model) end(fails bool) {
+	for _, id := range m.ids {
+		r := m.requests[id]
+		if r.running == nil || rapid.Bool().Draw(m.t, "other") {
+			continue
+		}
+		stage := rapid.SampledFrom(r.running.Stages()).Draw(m.t, "stage").Endpoint()
+		r.running = nil
+		if !fails {
+			r.ended = true
+			m.events = append(m.events, NewFinished(id, 50, time.Second))
+			return
+		}
+		reason := rapid.SampledFrom([]Reason{ReasonReset, ReasonSilent, ReasonBusy}).Draw(m.t, "reason")
+		m.events = append(m.events, NewAttemptFailed(id, stage, reason))
+		// The stream system gives up on some streams and sends the others again.
+		if !m.plain && rapid.Bool().Draw(m.t, "requeue") {
+			r.cfg.Recovery, r.cfg.Deadline = true, time.Time{}
+			m.events = append(m.events, NewArrived(r.cfg))
+		} else if !m.plain {
+			r.ended = true
+		}
+		return
+	}
+}
+
+func (m *model) grant() {
+	for _, svc := range m.s.order {
+		for _, t := range svc.list {
+			if rapid.Bool().Draw(m.t, "granted") {
+				continue
+			}
+			g := grantModel{rapid.IntRange(0, m.slots[t.id]).Draw(m.t, "grant"), m.now.Add(2 * time.Second)}
+			m.grants[t.id] = g
+			m.events = append(m.events, NewGrants([]GrantConfig{{
+				Pipeline: t.id, Slots: g.slots, Sequence: uint64(m.now.Sub(epoch)), Lifetime: 2 * time.Second,
+			}}))
+		}
+	}
+}
+
+func (m *model) tick() {
+	for _, d := range m.s.Tick(m.now, m.events) {
+		switch d := d.(type) {
+		case *Dispatch:
+			m.dispatched(d)
+		case Refuse:
+			m.refused(d)
+		case Drop:
+			m.requests[d.request].ended = true
+		}
+	}
+	m.events = m.events[:0]
+}
+
+func (m *model) dispatched(d *Dispatch) {
+	r, p := m.requests[d.Request()], d.Pipeline()
+	if r.ended || r.running != nil {
+		m.t.Fatalf("%s was dispatched although it ended or runs", d.Request())
+	}
+	r.dispatches++
+	if m.plain && !r.cfg.Repeatable && r.dispatches > 1 {
+		m.t.Fatalf("%s may not be repeated and was dispatched twice", d.Request())
+	}
+	if len(d.PassedOver()) > maxPassed {
+		m.t.Fatalf("%d pipelines are named", len(d.PassedOver()))
+	}
+	running := 1
+	for _, other := range m.requests {
+		if other.running == nil {
+			continue
+		}
+		if other.running.ID() == p.ID() {
+			running++
+		}
+		m.checkIsolation(d, r, other)
+	}
+	r.running = &p
+	limit := m.slots[p.ID()]/m.hosts + 1
+	if m.slots[p.ID()]%m.hosts == 0 {
+		limit--
+	}
+	if g, ok := m.grants[p.ID()]; ok && m.now.Before(g.until) {
+		limit = g.slots
+	}
+	if running > limit {
+		m.t.Fatalf("%d requests on %s, which is granted %d", running, p.ID(), limit)
+	}
+}
+
+func (m *model) checkIsolation(d *Dispatch, r, other *requestModel) {
+	for _, a := range r.cfg.Isolation {
+		for _, b := range other.cfg.Isolation {
+			if a != b {
+				continue
+			}
+			for _, stage := range d.Pipeline().Stages() {
+				if other.running.Uses(stage.Endpoint()) {
+					m.t.Fatalf("%s and %s are marked with %s and share %s", d.Request(), other.cfg.Request, a, stage.Endpoint())
+				}
+			}
+		}
+	}
+}
+
+func (m *model) refused(d Refuse) {
+	r := m.requests[d.Request()]
+	if r.ended || r.running != nil {
+		m.t.Fatalf("%s was refused although it ended or runs", d.Request())
+	}
+	r.ended = true
+	ref := d.Refusal()
+	if ref.Outcome() == outcome.NotRun && (!r.cfg.FirstSend || r.dispatches > 0 || m.plain && !r.cfg.Repeatable) {
+		m.t.Fatalf("%s was told not_run: first send %t, %d dispatches", d.Request(), r.cfg.FirstSend, r.dispatches)
+	}
+	if ref.RetryAfter() <= 0 {
+		m.t.Fatalf("%s was refused without a retry time", d.Request())
+	}
+}
+
+// Guards, under any order of events, against dispatch beyond the grant, two marked requests of one crash on
+// one endpoint, a second dispatch of a call that may not be repeated, a second answer to a request, a false
+// "not run", an unbounded queue, and a request that waits beyond its deadline.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		m.tick()
+		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			m.step(i)
+			m.tick()
+			if n := m.s.Waiting(); n > 24 {
+				t.Fatalf("%d requests wait", n)
+			}
+			for _, id := range m.ids {
+				r := m.requests[id]
+				if !r.ended && r.running == nil && !r.cfg.Deadline.IsZero() && !m.now.Before(r.cfg.Deadline) {
+					t.Fatalf("%s waits beyond its deadline", id)
+				}
+			}
+		}
+		m.drain()
+	})
+}
+
+// drain finishes running requests until nothing is left, which guards against requests and slots that get
+// lost.
+func (m *model) drain() {
+	// A pipeline that failed gets its probes within this time, and grants run out.
+	for range 400 {
+		open := 0
+		for _, id := range m.ids {
+			r := m.requests[id]
+			if r.running != nil {
+				r.ended, r.running = true, nil
+				m.events = append(m.events, NewFinished(id, 50, time.Second))
+			}
+			if !r.ended {
+				open++
+			}
+		}
+		m.now = m.now.Add(time.Second)
+		m.tick()
+		if open == 0 {
+			break
+		}
+	}
+	for _, id := range m.ids {
+		if r := m.requests[id]; !r.ended && r.running == nil && m.share() > 0 {
+			m.t.Fatalf("%s was neither dispatched nor refused", id)
+		}
+	}
+}
+
+// share returns the least number of slots that this host has of any pipeline; without slots on some
+// pipelines a request may rightly wait.
+func (m *model) share() int {
+	least := 1 << 30
+	for _, slots := range m.slots {
+		least = min(least, slots/m.hosts)
+	}
+	return least
+}
+
+// Guards against retries that multiply a fault: with every attempt failing, retries stay at a tenth of the
+// requests besides the allowance at the start.
+func TestRetryBudget(t *testing.T) {
+	s := New(Config{Seed: 1})
+	var list []PlainEndpointConfig
+	for i := range 20 {
+		list = append(list, PlainEndpointConfig{Endpoint: table.EndpointID(fmt.Sprint("p", i)), Slots: 50})
+	}
+	now := epoch
+	s.Tick(now, []Event{NewPlainEndpoints("s", list)})
+	var events []Event
+	retries, requests := 0, 1000
+	for i := range requests {
+		events = append(events, NewArrived(ArrivedConfig{
+			Request: table.RequestID(fmt.Sprint("r", i)), Service: "s", Workspace: "w", FirstSend: true, Repeatable: true,
+		}))
+		for len(events) > 0 {
+			now = now.Add(time.Millisecond)
+			decisions := s.Tick(now, events)
+			events = events[:0]
+			for _, d := range decisions {
+				if d, ok := d.(*Dispatch); ok {
+					if d.Retry() {
+						retries++
+					}
+					events = append(events, NewAttemptFailed(d.Request(), d.Endpoint(), ReasonReset))
+				}
+			}
+		}
+	}
+	if limit := requests/10 + 1; retries > limit || retries < limit/2 {
+		t.Fatalf("%d retries for %d requests, want at most %d", retries, requests, limit)
+	}
+}
--- a/internal/core/routing/requests.go
+++ b/internal/core/routing/requests.go
@@ -10,7 +10,11 @@
 )
 
 func (s *System) arrived(now time.Time, cfg ArrivedConfig) {
-	if old, ok := s.requests[cfg.Request]; ok && old.target != nil {
+	if old, ok := s.requests[cfg.Request]; ok {
+		if old.target == nil {
+			// The request waits already; a second answer to it would end the first.
+			return
+		}
 		// A requeued request whose failed attempt was not reported gives its slot back first.
 		s.release(now, old)
 	}
--- a/internal/core/routing/service.go
+++ b/internal/core/routing/service.go
@@ -43,6 +43,8 @@
 	// Targets with a free slot, in no order, for random choice without a walk.
 	available []*target
 	limit     int
+	// The part of limit that consists of probes.
+	probes    int
 	bad       int
 	guard     bool
 	preambles preambles
@@ -90,6 +92,9 @@
 // refresh recomputes whether the target may take a request now.
 func (s *service) refresh(now time.Time, hosts Hosts, t *target) {
 	limit := 0
+	if t.probing {
+		s.probes -= t.limit
+	}
 	t.probing = false
 	if !t.removed {
 		limit = t.share(now, hosts)
@@ -104,9 +109,18 @@
 	}
 	s.limit += limit - t.limit
 	t.limit = limit
+	if t.probing {
+		s.probes += limit
+	}
 	s.setAvailable(t, t.inflight < limit)
 }
 
+// risky reports whether the request would put a stream at risk that has failed before: as the probe of a
+// pipeline that failed lately, while others have slots.
+func (s *service) risky(now time.Time, r *request, t *target) bool {
+	return t.probing && r.cfg.Recovery && s.limit > s.probes && now.Before(t.failedAt.Add(maxProbeInterval))
+}
+
 func (s *service) setAvailable(t *target, available bool) {
 	switch {
 	case available && t.availAt < 0:
