--- a/internal/core/routing/requests.go
+++ b/internal/core/routing/requests.go
@@ -10,14 +10,18 @@
 )
 
 func (s *System) arrived(now time.Time, cfg ArrivedConfig) {
-	if old, ok := s.requests[cfg.Request]; ok && old.target != nil {
+	if old, ok := s.requests[cfg.Request]; ok {
+		if old.target == nil {
+			// The request waits already; a second answer to it would end the first.
+			return
+		}
 		// A requeued request whose failed attempt was not reported gives its slot back first.
 		s.release(now, old)
 	}
 	svc := s.service(cfg.Service)
 	r := &request{cfg: cfg, service: svc, arrived: now}
 	svc.budget.earn()
-	if svc.plain && len(svc.list) == 0 {
+	if len(svc.list) == 0 && !cfg.Recovery {
 		s.refuse(r, outcome.NoCapacity, "no endpoint of service "+string(cfg.Service)+" is known", time.Second)
 		return
 	}
