Add the operators' interface and command line

Cause: the daemon has no way to change a service document or to look at a deployment, and operators have no client.

Writes are conditional on a generation, so a write whose answer was lost is sent again through the next host without risk. core/jsonc tells the reason of a fault on its own.

--- /dev/null
+++ b/internal/client/command/apply.go
@@ -0,0 +1,199 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"waxwingplank/internal/core/document"
+	"waxwingplank/internal/core/outcome"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/ingress/operator"
+)
+
+// applyExtra is added to the timeout of a write: a host reads lost answers back for up to 5 s.
+const applyExtra = 5 * time.Second
+
+type applyCommand struct {
+	execute
+	DryRun  bool          `long:"dry-run" description:"check and show the changes only"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"how long to wait until the change is in force everywhere"`
+	Args    struct {
+		File string `positional-arg-name:"FILE" description:"service document"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// applyResult is the result of an apply under --json.
+type applyResult struct {
+	operator.ChangeAnswer
+	DryRun     bool           `json:"dry_run,omitempty"`
+	InForce    uint64         `json:"in_force"`
+	NotInForce []table.HostID `json:"not_in_force"`
+}
+
+func (c *applyCommand) run(ctx context.Context, s *session) error {
+	data, err := readFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	d, err := operator.ParseDocument(data)
+	if err != nil {
+		return fail(exitBad, "%s", checkData(c.Args.File, data))
+	}
+	h, err := s.hosts()
+	if err != nil {
+		return err
+	}
+	checked, err := h.check(ctx, d, data)
+	if err != nil {
+		return err
+	}
+	s.showChanges(checked)
+	base := checked.Base
+	if d.Generation() != 0 {
+		base = d.Generation()
+	}
+	if c.DryRun {
+		if base != checked.Base && len(checked.Changes) > 0 {
+			return fail(exitConflict, "the file is based on generation %d, but generation %d is in force", base, checked.Base)
+		}
+		return s.showApplied(applyResult{ChangeAnswer: checked, DryRun: true, InForce: checked.Base})
+	}
+	result := checked
+	if len(checked.Changes) > 0 {
+		if result, err = s.write(ctx, h, d, data, base); err != nil {
+			return err
+		}
+		result.Changes = checked.Changes
+	} else {
+		result.Generation = checked.Base
+	}
+	status, err := s.await(ctx, h, d.Service(), result.Generation, c.Timeout)
+	if err != nil {
+		return err
+	}
+	return s.showApplied(applyResult{ChangeAnswer: result, InForce: status.InForce, NotInForce: status.NotInForce})
+}
+
+// check asks a host to check the document, whose rules may be newer than those of this program.
+func (h *hosts) check(ctx context.Context, d document.Document, data []byte) (operator.ChangeAnswer, error) {
+	var checked operator.ChangeAnswer
+	a, err := h.any(ctx, call{method: http.MethodPost, path: "/v1/services/" + string(d.Service()) + "/check", body: data})
+	if err != nil {
+		return checked, err
+	}
+	if detail := a.detail(); detail.Code == operator.BadDocument {
+		return checked, fail(exitBad, "host %s: line %d: %s: %s", a.host, detail.Line, detail.Field, detail.Message)
+	}
+	return checked, a.into(&checked)
+}
+
+func (s *session) showChanges(c operator.ChangeAnswer) {
+	if len(c.Changes) == 0 {
+		s.note("%s: no change from generation %d", c.Service, c.Base)
+		return
+	}
+	s.note("%s: changes from generation %d:", c.Service, c.Base)
+	for _, line := range c.Changes {
+		s.note("  %s", line)
+	}
+}
+
+func (s *session) showApplied(r applyResult) error {
+	if r.NotInForce == nil {
+		r.NotInForce = []table.HostID{}
+	}
+	if s.opts.JSON {
+		return s.json(r)
+	}
+	switch {
+	case r.DryRun:
+		s.printf("%s: checked, nothing was written", r.Service)
+	case len(r.NotInForce) > 0:
+		s.printf("%s: generation %d is in force on all hosts that can be reached; not on %s",
+			r.Service, r.Generation, hostNames(r.NotInForce))
+	default:
+		s.printf("%s: generation %d is in force everywhere", r.Service, r.Generation)
+	}
+	return nil
+}
+
+// write puts the document on the object API through one of the hosts.
+//
+// A write whose answer is lost is sent again through the next host. That is safe because the write
+// is conditional: it succeeds at most once on one base.
+func (s *session) write(ctx context.Context, h *hosts, d document.Document, data []byte, base uint64) (operator.ChangeAnswer, error) {
+	c := call{method: http.MethodPut, path: "/v1/services/" + string(d.Service()), body: data, extra: applyExtra}
+	c.header = map[string]string{"If-Match": strconv.FormatUint(base, 10)}
+	if base == 0 {
+		c.header = map[string]string{"If-None-Match": "*"}
+	}
+	uncertain := false
+	var tried []string
+	for _, host := range h.list {
+		a, err := h.one(ctx, host, c)
+		if err != nil {
+			uncertain = uncertain || !neverSent(err)
+			tried = append(tried, fmt.Sprintf("%s: %v", host, cause(err)))
+			continue
+		}
+		detail := a.detail()
+		if a.status == http.StatusGatewayTimeout || detail.Outcome == outcome.MayHaveRun {
+			uncertain = true
+			tried = append(tried, fmt.Sprintf("%s: %s", host, detail.Message))
+			continue
+		}
+		if a.status == http.StatusConflict {
+			return s.conflict(d, base, uncertain, detail)
+		}
+		var written operator.ChangeAnswer
+		err = a.into(&written)
+		// Another host may still reach an object API that this one has lost.
+		elsewhere := detail.Code == outcome.PlatformDown || detail.Code == outcome.Leaving
+		if err == nil || !uncertain && !elsewhere {
+			return written, err
+		}
+		tried = append(tried, err.Error())
+	}
+	if uncertain {
+		return operator.ChangeAnswer{}, fail(exitUnknown, "outcome unknown: generation %d of %s may have been written; see 'get %s' (%s)",
+			base+1, d.Service(), d.Service(), strings.Join(tried, "; "))
+	}
+	return operator.ChangeAnswer{}, fail(exitUnavailable, "nothing was written: %s", strings.Join(tried, "; "))
+}
+
+// conflict tells whose change won. After an uncertain write the stored document may be this one.
+func (s *session) conflict(d document.Document, base uint64, uncertain bool, detail operator.ErrorDetail) (operator.ChangeAnswer, error) {
+	none := operator.ChangeAnswer{}
+	if len(detail.Theirs) == 0 {
+		return none, fail(exitConflict, "conflict: the file is based on generation %d of %s, but no such service is stored", base, d.Service())
+	}
+	theirs, err := operator.ParseDocument(detail.Theirs)
+	if err != nil {
+		return none, fail(exitConflict, "conflict: %s", detail.Message)
+	}
+	changes := document.Diff(theirs, d)
+	if uncertain && theirs.Generation() == base+1 && len(changes) == 0 {
+		return operator.ChangeAnswer{Service: d.Service(), Base: base, Generation: theirs.Generation()}, nil
+	}
+	if uncertain && theirs.Generation() > base+1 {
+		return none, fail(exitUnknown, "outcome unknown: generation %d of %s is stored; generation %d may have been this change",
+			theirs.Generation(), d.Service(), base+1)
+	}
+	if s.opts.JSON {
+		if err := s.json(map[string]any{"conflict": map[string]any{
+			"expected": base, "yours": detail.Yours, "theirs": detail.Theirs, "differences": changes,
+		}}); err != nil {
+			return none, err
+		}
+	}
+	s.note("generation %d differs from your file (theirs -> yours):", theirs.Generation())
+	for _, line := range changes {
+		s.note("  %s", line)
+	}
+	return none, fail(exitConflict, "conflict: your change of %s is based on generation %d, but generation %d is stored",
+		d.Service(), base, theirs.Generation())
+}
--- /dev/null
+++ b/internal/client/command/command.go
@@ -0,0 +1,225 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// The exit codes, which scripts branch on.
+const (
+	exitOK          = 0
+	exitFailed      = 1
+	exitBad         = 2
+	exitConflict    = 3
+	exitUnavailable = 4
+	exitUnknown     = 5
+	exitTimeout     = 6
+)
+
+const exitCodes = `Exit codes:
+  0  done
+  1  failed
+  2  bad input or settings
+  3  conflict with another operator's change
+  4  no host, or not the object API, is available; nothing was changed
+  5  outcome unknown: the change may have taken effect
+  6  timed out while waiting
+`
+
+// envHost names the hosts to use where --host is not given.
+const envHost = "WAXWINGPLANK_HOST"
+
+// Config describes one run of the client.
+type Config struct {
+	// Args are the arguments without the name of the program.
+	Args   []string
+	Stdout io.Writer
+	Stderr io.Writer
+	// Env looks up an environment variable.
+	Env func(string) string
+	// CallTimeout bounds one call to one host; zero means 3 s.
+	CallTimeout time.Duration
+	// PollEvery is the pause between two looks at a drain; zero means 250 ms.
+	PollEvery time.Duration
+}
+
+// The bounds that hold where Config leaves them out.
+const (
+	// defaultCall is far above the milliseconds in which a live host answers.
+	defaultCall = 3 * time.Second
+	// defaultPoll shows a drain without delay that a person would notice.
+	defaultPoll = 250 * time.Millisecond
+)
+
+// failure is an error with its exit code.
+type failure struct {
+	code    int
+	message string
+}
+
+func (f *failure) Error() string { return f.message }
+
+func fail(code int, format string, args ...any) error {
+	return &failure{code: code, message: fmt.Sprintf(format, args...)}
+}
+
+// action is one command of the command line.
+type action interface {
+	run(ctx context.Context, s *session) error
+}
+
+// execute makes a structure a command of go-flags, which calls the parser's handler in its place.
+type execute struct{}
+
+// Execute implements flags.Commander.
+func (execute) Execute([]string) error { return nil }
+
+type globals struct {
+	Hosts     []string `long:"host" value-name:"ADDRESS" description:"operator address of a host; give it again for hosts to try when one does not answer (default: $WAXWINGPLANK_HOST, separated by commas)"`
+	TokenFile string   `long:"token-file" value-name:"FILE" description:"file with the bearer token"`
+	CAFile    string   `long:"ca-file" value-name:"FILE" description:"authority that signs the hosts' certificates; the client then uses TLS"`
+	JSON      bool     `long:"json" description:"print JSON in place of columns"`
+}
+
+// session is what all commands share.
+type session struct {
+	cfg  Config
+	opts globals
+}
+
+// Run runs one command and returns its exit code.
+func Run(ctx context.Context, cfg Config) int {
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = defaultCall
+	}
+	if cfg.PollEvery == 0 {
+		cfg.PollEvery = defaultPoll
+	}
+	s := &session{cfg: cfg}
+	p, err := s.parser(ctx)
+	if err == nil {
+		_, err = p.ParseArgs(cfg.Args)
+	}
+	return s.end(err)
+}
+
+func (s *session) parser(ctx context.Context) (*flags.Parser, error) {
+	p := flags.NewNamedParser("waxwingplank", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = "Operates a deployment of waxwingplank.\n\n" + exitCodes
+	if _, err := p.AddGroup("Global options", "", &s.opts); err != nil {
+		return nil, err
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.short, c.long, c.make()); err != nil {
+			return nil, err
+		}
+	}
+	p.CommandHandler = func(cmd flags.Commander, args []string) error {
+		a, ok := cmd.(action)
+		if !ok {
+			return fail(exitBad, "a command is missing; see waxwingplank --help")
+		}
+		if len(args) > 0 {
+			return fail(exitBad, "unexpected argument %q", args[0])
+		}
+		return a.run(ctx, s)
+	}
+	p.CompletionHandler = func(items []flags.Completion) {
+		for _, i := range items {
+			_, _ = fmt.Fprintln(s.cfg.Stdout, i.Item)
+		}
+	}
+	return p, nil
+}
+
+type commandEntry struct {
+	name, short, long string
+	make              func() any
+}
+
+var commands = []commandEntry{
+	{"check", "Check settings and service documents", "Checks files without a host. Each fault is one line with file, line and field. Exit code 2 where a file is bad.", func() any { return &checkCommand{} }},
+	{"apply", "Put a service document in force", "Checks the document, shows what it changes, writes it, and waits until it is in force on all hosts that can be reached. A generation in the file is the one that the change is based on; without it, that is the one in force.", func() any { return &applyCommand{} }},
+	{"get", "Print the document in force", "Prints the document in force with its generation, ready to edit and apply.", func() any { return &getCommand{} }},
+	{"status", "Show hosts, endpoints, services and leases", "Shows the state of the deployment as one host knows it.", func() any { return &statusCommand{} }},
+	{"watch", "Watch a change spread", "Shows the progress until the newest generation is in force on all hosts that can be reached.", func() any { return &watchCommand{} }},
+	{"drain", "Drain one host", "Tells the host at the operator address to leave, and shows what is left until nothing is.", func() any { return &drainCommand{} }},
+	{"explain", "Show the decisions about a request", "Asks every host given by --host and every host in the status for the decisions about a request.", func() any { return &explainCommand{} }},
+	{"addresses", "Show the addresses for callers of a service", "Shows the hosts that callers are told to use, best first.", func() any { return &addressesCommand{} }},
+	{"completion", "Print shell completion", "Prints the completion script for bash or zsh.", func() any { return &completionCommand{} }},
+	{"version", "Print the version", "Prints the version of this program.", func() any { return &versionCommand{} }},
+}
+
+// end reports the error, if any, and returns the exit code.
+func (s *session) end(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(s.cfg.Stdout, usage.Message)
+			return exitOK
+		}
+		err = fail(exitBad, "%s", usage.Message)
+	}
+	code := exitFailed
+	var f *failure
+	if errors.As(err, &f) {
+		code = f.code
+	}
+	if s.opts.JSON {
+		_ = json.NewEncoder(s.cfg.Stderr).Encode(map[string]any{"error": map[string]any{"exit_code": code, "message": err.Error()}})
+		return code
+	}
+	_, _ = fmt.Fprintln(s.cfg.Stderr, "waxwingplank: "+err.Error())
+	return code
+}
+
+// note tells about progress; it goes to the error output, so that the output stays for results.
+func (s *session) note(format string, args ...any) {
+	_, _ = fmt.Fprintf(s.cfg.Stderr, format+"\n", args...)
+}
+
+func (s *session) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(s.cfg.Stdout, format+"\n", args...)
+}
+
+func (s *session) json(v any) error {
+	e := json.NewEncoder(s.cfg.Stdout)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return e.Encode(v)
+}
+
+// columns prints rows under a heading.
+func (s *session) columns(heading string, rows [][]string) {
+	w := tabwriter.NewWriter(s.cfg.Stdout, 0, 8, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.ReplaceAll(heading, " ", "\t"))
+	for _, r := range rows {
+		for i, cell := range r {
+			if cell == "" {
+				r[i] = "-"
+			}
+		}
+		_, _ = fmt.Fprintln(w, strings.Join(r, "\t"))
+	}
+	_ = w.Flush()
+}
+
+func readFile(path string) ([]byte, error) {
+	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return nil, fail(exitBad, "%v", err)
+	}
+	return data, nil
+}
--- a/internal/core/jsonc/jsonc.go
+++ b/internal/core/jsonc/jsonc.go
@@ -24,6 +24,9 @@
 // Field returns the path of the field at fault, such as "limits.queue".
 func (e *Error) Field() string { return e.field }
 
+// Reason returns what is wrong, without the place.
+func (e *Error) Reason() string { return e.reason }
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.field == "" {
--- /dev/null
+++ b/internal/ingress/operator/services.go
@@ -0,0 +1,154 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"waxwingplank/internal/core/document"
+	"waxwingplank/internal/core/jsonc"
+	"waxwingplank/internal/core/table"
+)
+
+// ServiceAnswer is the document in force on a host, and where it is in force.
+type ServiceAnswer struct {
+	ServiceStatus
+	Document json.RawMessage `json:"document"`
+}
+
+// ChangeAnswer tells what a document changes; Generation is 0 where nothing was written.
+type ChangeAnswer struct {
+	Service table.ServiceID `json:"service"`
+	// Base is the generation that the change is based on.
+	Base       uint64   `json:"base"`
+	Generation uint64   `json:"generation,omitempty"`
+	Changes    []string `json:"changes"`
+}
+
+// ParseDocument reads a service document; every error is a *document.Error.
+func ParseDocument(data []byte) (document.Document, error) {
+	d, err := document.Parse(data)
+	var fault *document.Error
+	if err == nil || errors.As(err, &fault) {
+		return d, err
+	}
+	// The document's own parser gives no line for text that is no JSON at all.
+	var syntax *jsonc.Error
+	if _, again := jsonc.Decode(data, &map[string]any{}); errors.As(again, &syntax) {
+		return d, &document.Error{Line: syntax.Line(), Field: syntax.Field(), Reason: syntax.Reason()}
+	}
+	return d, &document.Error{Line: 1, Reason: err.Error()}
+}
+
+// Changes lists what a document changes against the one in force, if any.
+func Changes(old document.Document, exists bool, d document.Document) []string {
+	changes := []string{}
+	if !exists {
+		return append(changes, fmt.Sprintf("service %s: new", d.Service()))
+	}
+	return append(changes, document.Diff(old, d)...)
+}
+
+func serviceID(r *http.Request) table.ServiceID { return table.ServiceID(chi.URLParam(r, "service")) }
+
+func (h *Handler) services(w http.ResponseWriter, _ *http.Request) {
+	list := []ServiceStatus{}
+	for _, d := range h.cfg.Backend.Documents() {
+		if s, ok := h.cfg.Backend.Service(d.Service()); ok {
+			list = append(list, s)
+		}
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"services": list})
+}
+
+func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
+	id := serviceID(r)
+	d, ok := h.cfg.Backend.Document(id)
+	if !ok {
+		refuseError(w, fmt.Errorf("service %s: %w", id, ErrNotFound))
+		return
+	}
+	value, err := d.Canonical()
+	if err != nil {
+		refuseError(w, err)
+		return
+	}
+	s, _ := h.cfg.Backend.Service(id)
+	s.Generation = d.Generation()
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(d.Generation(), 10)))
+	writeJSON(w, http.StatusOK, ServiceAnswer{ServiceStatus: s, Document: value})
+}
+
+func (h *Handler) check(w http.ResponseWriter, r *http.Request) {
+	d, err := readDocument(r)
+	if err != nil {
+		refuseError(w, err)
+		return
+	}
+	old, exists := h.cfg.Backend.Document(d.Service())
+	writeJSON(w, http.StatusOK, ChangeAnswer{
+		Service: d.Service(), Base: old.Generation(), Changes: Changes(old, exists, d),
+	})
+}
+
+func (h *Handler) apply(w http.ResponseWriter, r *http.Request) {
+	expected, err := precondition(r)
+	if err != nil {
+		refuse(w, http.StatusPreconditionRequired, detail{Code: NoPrecondition, Message: err.Error()})
+		return
+	}
+	d, err := readDocument(r)
+	if err != nil {
+		refuseError(w, err)
+		return
+	}
+	old, exists := h.cfg.Backend.Document(d.Service())
+	// A caller that leaves must not stop the write half way: its outcome would be unknown.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), h.cfg.ApplyTimeout)
+	defer cancel()
+	written, err := h.cfg.Backend.Apply(ctx, d, expected)
+	if err != nil {
+		refuseError(w, err)
+		return
+	}
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(written.Generation(), 10)))
+	writeJSON(w, http.StatusOK, ChangeAnswer{
+		Service: d.Service(), Base: expected, Generation: written.Generation(), Changes: Changes(old, exists, d),
+	})
+}
+
+// readDocument reads the document of the body, which must be that of the path.
+func readDocument(r *http.Request) (document.Document, error) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return document.Document{}, fmt.Errorf("body: %w", err)
+	}
+	d, err := ParseDocument(data)
+	if err != nil {
+		return d, err
+	}
+	if d.Service() != serviceID(r) {
+		return d, &document.Error{Line: 1, Field: "service", Reason: fmt.Sprintf("is %q, but the path names %q", d.Service(), serviceID(r))}
+	}
+	return d, nil
+}
+
+// precondition returns the generation that the change is based on; 0 means that none may exist.
+func precondition(r *http.Request) (uint64, error) {
+	match, none := r.Header.Get("If-Match"), r.Header.Get("If-None-Match")
+	if match == "" && none == "*" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
+	if err != nil || none != "" || n == 0 {
+		return 0, errors.New("the change needs If-Match with the generation it is based on, or If-None-Match: *")
+	}
+	return n, nil
+}
