Test the operators' interface and command line

Cause: exit codes and refusals are a contract with scripts, and nothing checked them.

A test showed that the last progress before a timeout was missing, because the watch waited longer than the time left; the wait is now half of the remaining time. An answer that is no refusal of ours is shown with its first line, which tells a client without --ca-file that the host expects TLS.

--- /dev/null
+++ b/internal/client/command/command_test.go
@@ -0,0 +1,228 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"encoding/pem"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"waxwingplank/internal/client/command"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/ingress/operator"
+	"waxwingplank/internal/standin/daemon"
+)
+
+// Guards against a command that ends with another exit code than documented, that stops at a host
+// that does not answer, or that tells a change of unknown outcome as done or as refused.
+//
+// The scripts have these commands besides those of testscript:
+//
+//	host NAME [MODE]     starts a host and puts its operator address into $NAME; modes are
+//	                     silent (never answers), refused (no listener), losing (drops the answer
+//	                     of a PUT after it took effect), breaking (drops a PUT before), garbage, tls
+//	fault [NAME]         sets a fault of the daemon
+//	token TOKEN          lets only the tokens added operate
+//	peer ADDRESS         adds a host to the status
+//	decision ID NAME     adds a decision about a request
+//	run CODE ARGUMENT... runs the client and checks its exit code
+//	json PATH VALUE      checks a value in the last output, with a path such as hosts.0.state
+//	writes N             checks the number of writes that took effect
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Values["daemon"] = daemon.New()
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"host":     startHost,
+			"fault":    setFault,
+			"token":    func(ts *testscript.TestScript, _ bool, args []string) { backend(ts).AddToken(args[0]) },
+			"peer":     func(ts *testscript.TestScript, _ bool, args []string) { backend(ts).AddPeer(args[0]) },
+			"decision": addDecision,
+			"run":      runClient,
+			"json":     checkJSON,
+			"writes": func(ts *testscript.TestScript, _ bool, args []string) {
+				if n := strconv.Itoa(backend(ts).Writes()); n != args[0] {
+					ts.Fatalf("%s writes took effect, want %s", n, args[0])
+				}
+			},
+		},
+	})
+}
+
+func backend(ts *testscript.TestScript) *daemon.Daemon { return ts.Value("daemon").(*daemon.Daemon) }
+
+func setFault(ts *testscript.TestScript, _ bool, args []string) {
+	backend(ts).SetFault(daemon.Fault(strings.Join(args, "")))
+}
+
+func addDecision(ts *testscript.TestScript, _ bool, args []string) {
+	backend(ts).AddDecision(table.RequestID(args[0]), operator.Decision{
+		Time: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC), Decision: args[1], Fields: map[string]any{"pipeline": "p1"},
+	})
+}
+
+func startHost(ts *testscript.TestScript, _ bool, args []string) {
+	mode := ""
+	if len(args) > 1 {
+		mode = args[1]
+	}
+	handler := operator.New(operator.Config{Backend: backend(ts), PollEvery: time.Millisecond})
+	stop := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		put := r.Method == http.MethodPut
+		switch {
+		case mode == "silent":
+			<-stop
+		case mode == "garbage":
+			w.WriteHeader(http.StatusOK)
+			_, _ = w.Write([]byte("<html>"))
+		case mode == "losing" && put:
+			handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		case mode == "breaking" && put:
+			panic(http.ErrAbortHandler)
+		default:
+			handler.ServeHTTP(w, r)
+		}
+	}))
+	if mode == "tls" {
+		server.StartTLS()
+	} else {
+		server.Start()
+	}
+	ts.Setenv(args[0], server.Listener.Addr().String())
+	if mode == "refused" {
+		server.Close()
+		return
+	}
+	if mode == "tls" {
+		ts.Check(os.WriteFile(ts.MkAbs("ca.pem"), pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}), 0o600))
+	}
+	ts.Defer(func() {
+		close(stop)
+		server.Close()
+	})
+}
+
+func runClient(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var stdout, stderr bytes.Buffer
+	code := command.Run(ctx, command.Config{
+		Args: args[1:], Stdout: &stdout, Stderr: &stderr, Env: ts.Getenv,
+		CallTimeout: 300 * time.Millisecond, PollEvery: time.Millisecond,
+	})
+	_, _ = ts.Stdout().Write(stdout.Bytes())
+	_, _ = ts.Stderr().Write(stderr.Bytes())
+	ts.Check(os.WriteFile(ts.MkAbs("last-stdout"), stdout.Bytes(), 0o600))
+	ts.Check(os.WriteFile(ts.MkAbs("last-stderr"), stderr.Bytes(), 0o600))
+	if code != want {
+		ts.Fatalf("exit code %d, want %d\nstdout: %s\nstderr: %s", code, want, &stdout, &stderr)
+	}
+}
+
+// checkJSON looks into the last output, or into the last error output where the path starts with "stderr.".
+func checkJSON(ts *testscript.TestScript, _ bool, args []string) {
+	path, inErr := strings.CutPrefix(args[0], "stderr.")
+	file := "last-stdout"
+	if inErr {
+		file = "last-stderr"
+	}
+	var v any
+	text := strings.TrimSpace(ts.ReadFile(file))
+	if inErr {
+		lines := strings.Split(text, "\n")
+		text = lines[len(lines)-1]
+	}
+	ts.Check(json.Unmarshal([]byte(text), &v))
+	for step := range strings.SplitSeq(path, ".") {
+		switch at := v.(type) {
+		case map[string]any:
+			v = at[step]
+		case []any:
+			i, err := strconv.Atoi(step)
+			ts.Check(err)
+			if i >= len(at) {
+				ts.Fatalf("%s has %d entries", path, len(at))
+			}
+			v = at[i]
+		default:
+			ts.Fatalf("%s: nothing at %s", path, step)
+		}
+	}
+	got, err := json.Marshal(v)
+	ts.Check(err)
+	if strings.Trim(string(got), `"`) != args[1] {
+		ts.Fatalf("%s is %s, want %s", path, got, args[1])
+	}
+}
+
+const racingDocument = `{"service": "lots", "generation": 1, "kind": "plain", "owner": "lots-team",
+	"endpoints": ["127.0.0.1:7201"], "calls": [{"method": "GET", "path": "NAME", "repeatable": true}]}`
+
+// Guards against two operators who edit one generation at once and both believe that they won.
+func TestOperatorsRace(t *testing.T) {
+	is := is.New(t)
+	backend := daemon.New()
+	server := httptest.NewServer(operator.New(operator.Config{Backend: backend, PollEvery: time.Millisecond}))
+	defer server.Close()
+	apply := func(name, text string) int {
+		path := filepath.Join(t.TempDir(), name)
+		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+		return command.Run(t.Context(), command.Config{
+			Args:   []string{"--host", server.Listener.Addr().String(), "apply", path},
+			Stdout: new(bytes.Buffer), Stderr: new(bytes.Buffer), Env: func(string) string { return "" },
+		})
+	}
+	is.Equal(apply("first", strings.Replace(racingDocument, `"generation": 1, `, "", 1)), 0)
+	const operators = 8
+	codes := make([]int, operators)
+	var wait sync.WaitGroup
+	for i := range operators {
+		wait.Go(func() { codes[i] = apply("edit", strings.Replace(racingDocument, "NAME", "lots"+strconv.Itoa(i), 1)) })
+	}
+	wait.Wait()
+	count := map[int]int{}
+	for _, c := range codes {
+		count[c]++
+	}
+	is.Equal(count, map[int]int{0: 1, 3: operators - 1})
+	is.Equal(backend.Writes(), 2)
+}
+
+// Guards against completion that the parser of the arguments cannot serve.
+func TestCompletion(t *testing.T) {
+	is := is.New(t)
+	t.Setenv("GO_FLAGS_COMPLETION", "1")
+	var out bytes.Buffer
+	code := command.Run(t.Context(), command.Config{Args: []string{"wa"}, Stdout: &out, Stderr: &out, Env: os.Getenv})
+	is.Equal(code, 0)
+	is.Equal(out.String(), "watch\n")
+}
+
+// Guards against an address without a port that is dialled and reported as a host that is down.
+func TestBadAddress(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	code := command.Run(t.Context(), command.Config{
+		Args: []string{"--host", "10.0.0.1", "status"}, Stdout: &out, Stderr: &out, Env: func(string) string { return "" },
+	})
+	is.Equal(code, 2)
+	is.True(strings.Contains(out.String(), "is not an address and a port"))
+}
--- a/internal/client/command/hosts.go
+++ b/internal/client/command/hosts.go
@@ -162,7 +162,7 @@
 func (a answer) detail() operator.ErrorDetail {
 	var b operator.ErrorBody
 	if err := json.Unmarshal(a.body, &b); err != nil || b.Error.Code == "" {
-		b.Error = operator.ErrorDetail{Code: outcome.Internal, Message: http.StatusText(a.status)}
+		b.Error = operator.ErrorDetail{Code: outcome.Internal, Message: a.line()}
 		if a.status >= http.StatusInternalServerError {
 			b.Error.Outcome = outcome.Classify(outcome.Facts{BytesSent: true})
 		}
@@ -170,6 +170,14 @@
 	return b.Error
 }
 
+// line returns the first line of an answer that is no refusal of waxwingplank, such as that of a
+// listener that expects TLS.
+func (a answer) line() string {
+	const maxLine = 200
+	text, _, _ := bytes.Cut(bytes.TrimSpace(a.body), []byte("\n"))
+	return fmt.Sprintf("%s: %.*q", http.StatusText(a.status), maxLine, text)
+}
+
 func (a answer) refusal() error {
 	d := a.detail()
 	code := exitFailed
--- a/internal/client/command/watch.go
+++ b/internal/client/command/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -75,7 +76,12 @@
 }
 
 func (h *hosts) watch(ctx context.Context, service table.ServiceID, generation uint64, into *operator.ServiceStatus) error {
-	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", service, max(generation, 1)-1, watchWait.Milliseconds())
+	wait := watchWait
+	if end, ok := ctx.Deadline(); ok {
+		// Half of what remains leaves time for the answer, so that the last progress is shown at the end.
+		wait = min(wait, time.Until(end)/2)
+	}
+	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", url.PathEscape(string(service)), max(generation, 1)-1, max(wait.Milliseconds(), 0))
 	a, err := h.any(ctx, call{method: http.MethodGet, path: path, extra: watchWait})
 	if err != nil {
 		return err
