Let a drain's progress wait for a change

Cause: a host that exits right after its last request closes its listener between two looks of the client, which then cannot tell whether work was cut off.

Change: GET /v1/drain takes wait_ms and answers on a change. A graceful shutdown lets this open request end, so the client sees that nothing is left.

--- a/internal/client/command/drain.go
+++ b/internal/client/command/drain.go
@@ -46,21 +46,30 @@
 		if left.Done || empty(left) {
 			return s.drained(left)
 		}
-		pause(ctx, s.cfg.PollEvery)
 		if ctx.Err() != nil {
 			return fail(exitTimeout, "timed out: %s", shown)
 		}
-		if err := h.get(ctx, "/v1/drain", &left); err == nil {
+		before := left
+		if h.left(ctx, &left) {
 			silent = 0
-			continue
-		}
-		// A host that exits right after its last request may not have been seen empty.
-		if silent++; silent == maxSilence {
+		} else if silent++; silent == maxSilence {
+			// A host that exits right after its last request may not have been seen empty.
 			return fail(exitUnknown, "the host no longer answers; when last seen: %s", shown)
 		}
+		if left == before {
+			pause(ctx, s.cfg.PollEvery)
+		}
 	}
 }
 
+// left reads what is left once it has changed; it reports whether the host answered.
+func (h *hosts) left(ctx context.Context, into *operator.DrainStatus) bool {
+	a, err := h.any(ctx, call{
+		method: http.MethodGet, path: fmt.Sprintf("/v1/drain?wait_ms=%d", waitMs(ctx)), extra: watchWait,
+	})
+	return err == nil && a.into(into) == nil
+}
+
 func empty(d operator.DrainStatus) bool { return d.Draining && d.Streams+d.Calls+d.Leases == 0 }
 
 func remaining(d operator.DrainStatus) string {
--- a/internal/client/command/watch.go
+++ b/internal/client/command/watch.go
@@ -76,12 +76,7 @@
 }
 
 func (h *hosts) watch(ctx context.Context, service table.ServiceID, generation uint64, into *operator.ServiceStatus) error {
-	wait := watchWait
-	if end, ok := ctx.Deadline(); ok {
-		// Half of what remains leaves time for the answer, so that the last progress is shown at the end.
-		wait = min(wait, time.Until(end)/2)
-	}
-	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", url.PathEscape(string(service)), max(generation, 1)-1, max(wait.Milliseconds(), 0))
+	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", url.PathEscape(string(service)), max(generation, 1)-1, waitMs(ctx))
 	a, err := h.any(ctx, call{method: http.MethodGet, path: path, extra: watchWait})
 	if err != nil {
 		return err
@@ -90,6 +85,16 @@
 	return a.into(into)
 }
 
+// waitMs returns how long a host may wait before it answers: half of what remains at most, so that
+// the last progress is shown at the end.
+func waitMs(ctx context.Context) int64 {
+	wait := watchWait
+	if end, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(end)/2)
+	}
+	return max(wait.Milliseconds(), 0)
+}
+
 func progress(service table.ServiceID, generation uint64, s operator.ServiceStatus, err error) string {
 	if err != nil {
 		return fmt.Sprintf("%s: generation %d: progress unknown: %v", service, generation, err)
--- a/internal/ingress/operator/status.go
+++ b/internal/ingress/operator/status.go
@@ -60,24 +60,15 @@
 	id := serviceID(r)
 	first, knownFirst := h.cfg.Backend.Service(id)
 	s, known := first, knownFirst
-	end := time.NewTimer(wait)
-	defer end.Stop()
-	poll := time.NewTicker(h.cfg.PollEvery)
-	defer poll.Stop()
-	for {
-		changed := known != knownFirst || s.Generation != first.Generation || !slices.Equal(s.NotInForce, first.NotInForce)
-		if s.InForce > after || changed {
-			return s, known
-		}
-		select {
-		case <-poll.C:
-		case <-end.C:
-			return s, known
-		case <-r.Context().Done():
-			return s, known
-		}
-		s, known = h.cfg.Backend.Service(id)
+	if s.InForce > after {
+		return s, known
 	}
+	h.poll(r, wait, func() bool {
+		s, known = h.cfg.Backend.Service(id)
+		changed := known != knownFirst || s.Generation != first.Generation || !slices.Equal(s.NotInForce, first.NotInForce)
+		return s.InForce > after || changed
+	})
+	return s, known
 }
 
 func (h *Handler) addresses(w http.ResponseWriter, r *http.Request) {
@@ -94,8 +85,41 @@
 	writeJSON(w, http.StatusAccepted, h.cfg.Backend.DrainStatus())
 }
 
-func (h *Handler) drainStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, h.cfg.Backend.DrainStatus())
+// drainStatus answers once something has changed, or after the wait. A host that stops lets open
+// requests end, so a waiting caller learns that nothing is left.
+func (h *Handler) drainStatus(w http.ResponseWriter, r *http.Request) {
+	wait, ok := milliseconds(r, "wait_ms")
+	if !ok {
+		refuse(w, http.StatusBadRequest, detail{Code: outcome.BadRequest, Message: "wait_ms must be a number of milliseconds"})
+		return
+	}
+	first := h.cfg.Backend.DrainStatus()
+	now := first
+	h.poll(r, wait, func() bool {
+		now = h.cfg.Backend.DrainStatus()
+		return now != first || now.Done
+	})
+	writeJSON(w, http.StatusOK, now)
+}
+
+// poll calls the function until it is true, the wait has passed or the caller has left.
+func (h *Handler) poll(r *http.Request, wait time.Duration, done func() bool) {
+	if wait == 0 {
+		return
+	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	tick := time.NewTicker(h.cfg.PollEvery)
+	defer tick.Stop()
+	for !done() {
+		select {
+		case <-tick.C:
+		case <-end.C:
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
 }
 
 func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
