Begin each call at the host that answered last; look at a drain without pause

With the first of two hosts frozen, an apply waited for it in each of its calls. A drain of a host with one stream ended with exit code 5, because the host exited in the pause between two looks.

Change: the calls of one command begin at the host that answered last. The client looks at a drain again at once, since the host waits for a change; it pauses only where the host did not answer.

--- a/internal/client/command/command_test.go
+++ b/internal/client/command/command_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -207,6 +208,52 @@
 	is.Equal(backend.Writes(), 2)
 }
 
+// Guards against a command that waits for the same silent host in each of its calls.
+func TestSilentHostIsTriedOnce(t *testing.T) {
+	is := is.New(t)
+	var tries atomic.Int64
+	stop := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		tries.Add(1)
+		<-stop
+	}))
+	defer silent.Close()
+	defer close(stop)
+	live := httptest.NewServer(operator.New(operator.Config{Backend: daemon.New(), PollEvery: time.Millisecond}))
+	defer live.Close()
+	path := filepath.Join(t.TempDir(), "lots.jsonc")
+	is.NoErr(os.WriteFile(path, []byte(strings.Replace(racingDocument, `"generation": 1, `, "", 1)), 0o600))
+	code := command.Run(t.Context(), command.Config{
+		Args:   []string{"--host", silent.Listener.Addr().String(), "--host", live.Listener.Addr().String(), "apply", path},
+		Stdout: new(bytes.Buffer), Stderr: new(bytes.Buffer), Env: os.Getenv, CallTimeout: 200 * time.Millisecond,
+	})
+	is.Equal(code, 0)
+	is.Equal(tries.Load(), int64(1))
+}
+
+// Guards against a pause between two looks at a drain, in which a host that is done exits unseen.
+func TestDrainLooksWithoutPause(t *testing.T) {
+	is := is.New(t)
+	backend := daemon.New()
+	backend.SetFault(daemon.Stuck)
+	handler := operator.New(operator.Config{Backend: backend, PollEvery: time.Millisecond})
+	looks := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			if looks++; looks == 2 {
+				backend.SetFault(daemon.None)
+			}
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	code := command.Run(t.Context(), command.Config{
+		Args:   []string{"drain", "--timeout", "20s", server.Listener.Addr().String()},
+		Stdout: new(bytes.Buffer), Stderr: new(bytes.Buffer), Env: os.Getenv, PollEvery: time.Hour,
+	})
+	is.Equal(code, 0)
+}
+
 // Guards against completion that the parser of the arguments cannot serve.
 func TestCompletion(t *testing.T) {
 	is := is.New(t)
--- a/internal/client/command/drain.go
+++ b/internal/client/command/drain.go
@@ -49,20 +49,20 @@
 		if ctx.Err() != nil {
 			return fail(exitTimeout, "timed out: %s", shown)
 		}
-		before := left
 		if h.left(ctx, &left) {
 			silent = 0
-		} else if silent++; silent == maxSilence {
-			// A host that exits right after its last request may not have been seen empty.
-			return fail(exitUnknown, "the host no longer answers; when last seen: %s", shown)
+			continue
 		}
-		if left == before {
-			pause(ctx, s.cfg.PollEvery)
+		// A host that exits right after its last request may not have been seen empty.
+		if silent++; silent == maxSilence {
+			return fail(exitUnknown, "the host no longer answers; when last seen: %s", shown)
 		}
+		pause(ctx, s.cfg.PollEvery)
 	}
 }
 
-// left reads what is left once it has changed; it reports whether the host answered.
+// left reads what is left and reports whether the host answered. The host waits for a change, so
+// looks follow each other without a pause in which the host could exit unseen.
 func (h *hosts) left(ctx context.Context, into *operator.DrainStatus) bool {
 	a, err := h.any(ctx, call{
 		method: http.MethodGet, path: fmt.Sprintf("/v1/drain?wait_ms=%d", waitMs(ctx)), extra: watchWait,
--- a/internal/client/command/hosts.go
+++ b/internal/client/command/hosts.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -125,9 +126,11 @@
 // any sends a call that may be repeated to the hosts in turn until one answers.
 func (h *hosts) any(ctx context.Context, c call) (answer, error) {
 	var tried []string
-	for _, host := range h.list {
+	for i, host := range h.list {
 		a, err := h.one(ctx, host, c)
 		if err == nil {
+			// The calls that follow begin here: a silent host costs the whole timeout each time.
+			h.list = slices.Concat(h.list[i:], h.list[:i])
 			return a, nil
 		}
 		tried = append(tried, fmt.Sprintf("%s: %v", host, cause(err)))
