Refuse null in settings and tokens files

Cause: a field that is null was accepted and left its default in place, as a trial with limits.streams showed; service documents refuse it already.

Change: core/jsonc refuses null with line and field. Its faults get a table test. The text of exit code 4 is clearer.

Conclusion: no test or settings file in the tree uses null.

--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -30,7 +30,7 @@
   1  failed
   2  bad input or settings
   3  conflict with another operator's change
-  4  no host, or not the object API, is available; nothing was changed
+  4  no host answers, or the object API is unavailable; nothing was changed
   5  outcome unknown: the change may have taken effect
   6  timed out while waiting
 `
--- a/internal/core/jsonc/jsonc.go
+++ b/internal/core/jsonc/jsonc.go
@@ -52,7 +52,7 @@
 	return &Error{line: max(line, 1), field: field, reason: reason}
 }
 
-// Decode fills the structure that v points to and refuses unknown and duplicate fields.
+// Decode fills the structure that v points to and refuses unknown and duplicate fields, and nulls.
 func Decode(data []byte, v any) (*File, error) {
 	root, err := hujson.Parse(data)
 	if err != nil {
@@ -85,6 +85,11 @@
 	}
 	w.file.lines[path] = lineAt(w.data, v.StartOffset)
 	switch kind := v.Value.(type) {
+	case hujson.Literal:
+		// A null would leave the default in place, as if the field had not been written.
+		if kind.Kind() == 'n' {
+			return w.file.Fault(path, "must not be null")
+		}
 	case *hujson.Object:
 		return w.object(kind, t, path)
 	case *hujson.Array:
--- /dev/null
+++ b/internal/core/jsonc/jsonc_test.go
@@ -0,0 +1,54 @@
+package jsonc
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/txtar"
+)
+
+type inner struct {
+	Name   string `json:"name"`
+	Number int    `json:"number"`
+}
+
+type outer struct {
+	Outer  inner   `json:"outer"`
+	List   []inner `json:"list"`
+	Number int     `json:"number"`
+}
+
+// Guards against a field that is silently ignored, and against a fault that names another place.
+func TestFaults(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/faults.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range archive.Files {
+		t.Run(f.Name, func(t *testing.T) {
+			is := is.New(t)
+			want, _, _ := strings.Cut(strings.TrimPrefix(string(f.Data), "// "), "\n")
+			var v outer
+			_, err := Decode(f.Data, &v)
+			var fault *Error
+			is.True(errors.As(err, &fault))
+			is.Equal(fmt.Sprintf("%d|%s|%s", fault.Line(), fault.Field(), fault.Reason()), want)
+		})
+	}
+}
+
+// Guards against comments and trailing commas that are refused, and defaults that are lost.
+func TestDecode(t *testing.T) {
+	is := is.New(t)
+	v := outer{Number: 7}
+	at, err := Decode([]byte("{\n// a comment\n\"outer\": {\"name\": \"a\"},\n}"), &v)
+	is.NoErr(err)
+	is.Equal(v.Outer.Name, "a")
+	is.Equal(v.Number, 7)
+	is.Equal(at.Fault("outer.name", "x").Error(), "line 3: field outer.name: x")
+	is.Equal(at.Fault("outer.absent", "x").Line(), 3) // that of the nearest parent
+	is.Equal(at.Fault("absent", "x").Line(), 1)
+}
