--- /dev/null
+++ b/internal/daemon/members/view.go
@@ -0,0 +1,20 @@
+package members
+
+import (
+	"waxwingplank/internal/core/membership"
+	"waxwingplank/internal/core/table"
+)
+
+// View returns all hosts that this host knows.
+func (m *Members) View() []membership.Known {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.system.View()
+}
+
+// Behind returns the hosts that are not known to have adopted the newest generation of a document.
+func (m *Members) Behind(service table.ServiceID) []table.HostID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.system.Behind(service)
+}
--- a/internal/daemon/run/call.go
+++ b/internal/daemon/run/call.go
@@ -20,8 +20,8 @@
 
 // Call implements caller.Backend.
 func (d *Daemon) Call(ctx context.Context, req caller.CallRequest) (caller.CallAnswer, error) {
-	d.inflight.Add(1)
-	defer d.inflight.Add(-1)
+	d.inflight.calls.Add(1)
+	defer d.inflight.calls.Add(-1)
 	r, err := d.rulesFor(req.Request, document.Plain)
 	if err != nil {
 		return caller.CallAnswer{}, err
--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -82,12 +82,17 @@
 
 	prefix   string
 	lastID   atomic.Uint64
-	inflight atomic.Int64
+	inflight counts
 	draining atomic.Bool
 	drain    chan string
 	tasks    sync.WaitGroup
 }
 
+// counts is the number of requests in flight.
+type counts struct{ streams, calls atomic.Int64 }
+
+func (c *counts) total() int64 { return c.streams.Load() + c.calls.Load() }
+
 // New builds a daemon; Run starts it.
 func New(cfg Config) (*Daemon, error) {
 	log, err := journal.New(journal.Config{Writer: cfg.Log, Level: cfg.Settings.LogLevel(), Host: cfg.Settings.Host()})
@@ -223,12 +228,12 @@
 }
 
 func (d *Daemon) listen(ctx context.Context) error {
-	callers, err := d.listenCallers(ctx)
+	callers, err := d.listenTLS(ctx, d.set.Caller())
 	if err != nil {
 		return err
 	}
 	d.serve(callers, d.caller)
-	operators, err := new(net.ListenConfig).Listen(ctx, "tcp", d.set.Operator())
+	operators, err := d.listenTLS(ctx, d.set.Operator())
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/run/drain.go
+++ b/internal/daemon/run/drain.go
@@ -25,7 +25,7 @@
 func (d *Daemon) startDrain(cause string) {
 	d.draining.Store(true)
 	d.members.Drain()
-	d.journal.Decision("", "drain", journal.Fields{"cause": cause, "in_flight": d.inflight.Load()})
+	d.journal.Decision("", "drain", journal.Fields{"cause": cause, "in_flight": d.inflight.total()})
 }
 
 // finishRequests waits for the requests in flight, so that a planned stop cuts off none.
@@ -34,7 +34,7 @@
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
 	for range ticker.C {
-		left := d.inflight.Load()
+		left := d.inflight.total()
 		elapsed := time.Since(started)
 		if left == 0 && elapsed >= spreadLeave {
 			return
@@ -62,5 +62,5 @@
 	d.objects.Close()
 	d.engine.Close()
 	d.plain.Close()
-	d.journal.Log().WithField("left", d.inflight.Load()).Info("host stopped")
+	d.journal.Log().WithField("left", d.inflight.total()).Info("host stopped")
 }
--- a/internal/daemon/run/operator.go
+++ b/internal/daemon/run/operator.go
@@ -1,15 +1,115 @@
 package run
 
 import (
-	"encoding/json"
+	"context"
+	"errors"
+	"fmt"
 	"net/http"
+	"time"
+
+	"waxwingplank/internal/core/document"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/daemon/documents"
+	"waxwingplank/internal/ingress/operator"
 )
 
-// operatorHandler serves operators until the operator package takes over.
+// operatorHandler serves operators.
 func (d *Daemon) operatorHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(map[string]any{"host": d.set.Host(), "live": d.members.Live(), "services": len(d.members.Documents())})
-	})
-	return mux
+	return operator.New(operator.Config{Backend: operations{daemon: d}})
+}
+
+// operations is the daemon as operators see it.
+type operations struct{ daemon *Daemon }
+
+// Operator implements operator.Backend.
+func (o operations) Operator(token string) bool { return o.daemon.tokens.Operator(token) }
+
+// Documents implements operator.Backend.
+func (o operations) Documents() []document.Document { return o.daemon.members.Documents() }
+
+// Document implements operator.Backend.
+func (o operations) Document(service table.ServiceID) (document.Document, bool) {
+	return o.daemon.members.Document(service)
+}
+
+// Service implements operator.Backend.
+func (o operations) Service(service table.ServiceID) (operator.ServiceStatus, bool) {
+	doc, ok := o.daemon.members.Document(service)
+	if !ok {
+		return operator.ServiceStatus{}, false
+	}
+	return operator.ServiceStatus{
+		Service: service, Owner: doc.Owner(), Generation: doc.Generation(),
+		InForce: o.daemon.members.InForce(service), NotInForce: append([]table.HostID{}, o.daemon.members.Behind(service)...),
+	}, true
+}
+
+// Apply implements operator.Backend.
+func (o operations) Apply(ctx context.Context, doc document.Document, expected uint64) (document.Document, error) {
+	written, err := documents.Apply(ctx, objects{client: o.daemon.objects}, doc, expected)
+	var conflict *documents.Conflict
+	switch {
+	case err == nil:
+		o.daemon.members.Accepted(written)
+		return written, nil
+	case errors.As(err, &conflict):
+		return document.Document{}, operator.NewConflict(conflict.Expected(), conflict.Yours(), conflict.Theirs())
+	case errors.Is(err, documents.ErrUnknown):
+		return document.Document{}, fmt.Errorf("%w: %w", operator.ErrUnknown, err)
+	case errors.Is(err, documents.ErrUnavailable):
+		return document.Document{}, fmt.Errorf("%w: %w", operator.ErrUnavailable, err)
+	}
+	return document.Document{}, err
+}
+
+// Status implements operator.Backend.
+func (o operations) Status() operator.Status {
+	m := o.daemon.members
+	s := operator.Status{Host: o.daemon.set.Host()}
+	for _, k := range m.View() {
+		h := k.Host()
+		s.Hosts = append(s.Hosts, operator.HostStatus{
+			Host: h.ID, Address: h.Address, FailureDomain: h.FailureDomain, Region: h.Region,
+			State: string(k.State()), Relay: k.Relay(), LoadPermille: k.LoadPermille(),
+		})
+	}
+	for _, doc := range m.Documents() {
+		service, _ := o.Service(doc.Service())
+		s.Services = append(s.Services, service)
+	}
+	return s
+}
+
+// Addresses implements operator.Backend.
+func (o operations) Addresses(ctx context.Context, service table.ServiceID) ([]operator.Address, time.Duration, error) {
+	if _, ok := o.daemon.members.Document(service); !ok {
+		return nil, 0, fmt.Errorf("service %s: %w", service, operator.ErrNotFound)
+	}
+	list, lifetime, err := o.daemon.Addresses(ctx, service)
+	var out []operator.Address
+	for _, a := range list {
+		out = append(out, operator.Address(a))
+	}
+	return out, lifetime, err
+}
+
+// Drain implements operator.Backend.
+func (o operations) Drain() { o.daemon.Drain("operator") }
+
+// DrainStatus implements operator.Backend.
+func (o operations) DrainStatus() operator.DrainStatus {
+	streams, calls := int(o.daemon.inflight.streams.Load()), int(o.daemon.inflight.calls.Load())
+	draining := o.daemon.draining.Load()
+	return operator.DrainStatus{
+		Host: o.daemon.set.Host(), Draining: draining, Streams: streams, Calls: calls, Done: draining && streams+calls == 0,
+	}
+}
+
+// Explain implements operator.Backend.
+func (o operations) Explain(request table.RequestID) []operator.Decision {
+	var out []operator.Decision
+	for _, l := range o.daemon.journal.Explain(request) {
+		out = append(out, operator.Decision{Time: l.Time, Host: o.daemon.set.Host(), Decision: l.Decision, Fields: l.Fields})
+	}
+	return out
 }
--- a/internal/daemon/run/peers.go
+++ b/internal/daemon/run/peers.go
@@ -100,8 +100,8 @@
 
 // Forward implements caller.Backend.
 func (d *Daemon) Forward(w http.ResponseWriter, r *http.Request, body []byte, req caller.Request, to table.HostID) (bool, error) {
-	d.inflight.Add(1)
-	defer d.inflight.Add(-1)
+	d.inflight.calls.Add(1)
+	defer d.inflight.calls.Add(-1)
 	peer, known := d.members.Host(to)
 	if !known {
 		return false, d.notForwarded(req, to, false)
--- a/internal/daemon/run/stream.go
+++ b/internal/daemon/run/stream.go
@@ -16,8 +16,8 @@
 
 // Stream implements caller.Backend.
 func (d *Daemon) Stream(ctx context.Context, req caller.StreamRequest, sink caller.Sink) error {
-	d.inflight.Add(1)
-	defer d.inflight.Add(-1)
+	d.inflight.streams.Add(1)
+	defer d.inflight.streams.Add(-1)
 	r, err := d.rulesFor(req.Request, document.Pipeline)
 	if err != nil {
 		return err
--- a/internal/daemon/run/tls.go
+++ b/internal/daemon/run/tls.go
@@ -35,10 +35,6 @@
 	return credentials.Server(files)
 }
 
-func (d *Daemon) listenCallers(ctx context.Context) (net.Listener, error) {
-	return d.listenTLS(ctx, d.set.Caller())
-}
-
 // listenTLS listens for callers or operators, with the callers' certificate where one is set.
 func (d *Daemon) listenTLS(ctx context.Context, address string) (net.Listener, error) {
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
