Bound a relay's bytes at 410 hosts and false deaths under loss

The first run of the benchmark broke two bounds: - a relay at 410 hosts moved 80,056 bytes/s (bound 27,000), because loads of all hosts passed to every failure domain; - at 16 hosts one running host was taken for dead (15 views) under 2% loss and pauses of up to 0.95 s: a lost heartbeat waited for the next period.

Loads now stay within their failure domain above 128 hosts, and a lost heartbeat is sent again after 400 ms.

--- a/internal/core/membership/changes.go
+++ b/internal/core/membership/changes.go
@@ -123,6 +123,9 @@
 	own := domain == s.cfg.Self.FailureDomain
 	out := Reply{Upto: s.log.last, RelayIncarnation: s.cfg.Incarnation}
 	out.Self, _ = s.part(s.self, after, true)
+	if !own && len(s.rows) > loadsAcross {
+		out.Self.LoadPermille = -1
+	}
 	seen := map[table.HostID]struct{}{s.self.rec.ID: {}}
 	for _, c := range s.log.after(after) {
 		switch {
@@ -152,7 +155,12 @@
 	if !own && r.rec.FailureDomain != s.cfg.Self.FailureDomain {
 		return
 	}
-	if rec, ok := s.part(r, after, h.Relay); ok {
+	rec, ok := s.part(r, after, h.Relay)
+	if !own && len(s.rows) > loadsAcross {
+		rec.LoadPermille = -1
+		ok = r.changeStatic > after || r.changeState > after || rec.Generations != nil
+	}
+	if ok {
 		out.Hosts = append(out.Hosts, rec)
 	}
 }
--- a/internal/core/membership/config.go
+++ b/internal/core/membership/config.go
@@ -23,6 +23,8 @@
 	askEvery = 250 * time.Millisecond
 	// cutAfter is the silence of all hosts of a failure domain after which it is unreachable.
 	cutAfter = 2 * time.Second
+	// retryAfter is the time from a lost heartbeat to its repetition: the deadline of the call.
+	retryAfter = 400 * time.Millisecond
 	// callLost ends a call that was neither answered nor reported as failed.
 	callLost = 2 * time.Second
 	// recheckEvery is the period of probes of a host that no longer answers heartbeats.
@@ -31,6 +33,9 @@
 	// one change each 5 s of 25 bytes from two relays costs 4 KB/s. Address answers live 5 s too.
 	loadEvery        = 5 * time.Second
 	loadStepPermille = 50
+	// loadsAcross is the number of hosts up to which loads pass between failure domains. At 410 hosts
+	// they made a relay pass on 80 KB/s, three times its bound; callers are sent to their own domain first.
+	loadsAcross = 128
 	// fullEvery is the number of heartbeats after which a host sends its whole record again.
 	fullEvery = 10
 	// AddressLifetime is how long a caller may keep an address answer.
--- a/internal/core/membership/contact.go
+++ b/internal/core/membership/contact.go
@@ -175,6 +175,9 @@
 	}
 	h := Heartbeat{After: c.after, RelayIncarnation: c.run, Relay: s.isRelay, Payloads: s.ownPayloads(c.acked)}
 	h.Self, _ = s.part(s.self, c.acked, true)
+	if r.rec.FailureDomain != s.cfg.Self.FailureDomain && len(s.rows) > loadsAcross {
+		h.Self.LoadPermille = -1
+	}
 	c.sent = s.log.last
 	c.pending = s.now
 	c.again = false
@@ -305,6 +308,9 @@
 	if c == nil || c.pending.IsZero() {
 		return
 	}
+	// A lost heartbeat is sent again before the next one is due: with it a loss and a pause of 0.95 s
+	// together stay below the 1.9 s after which a host counts as dead.
+	c.next = c.pending.Add(retryAfter)
 	s.ended(c)
 	c.failing = true
 	if r := s.rows[id]; r != nil && r.rec.FailureDomain != s.cfg.Self.FailureDomain {
--- a/internal/core/membership/script_test.go
+++ b/internal/core/membership/script_test.go
@@ -160,6 +160,8 @@
 		})
 	case "no-false-death":
 		return s.falseDeaths() == 0
+	case "declares-none-dead":
+		return deaths(s.node(w[1]), s.mark) == 0
 	case "behind": // behind SERVICE REGION: the last report names exactly the hosts of the region
 		return s.behind(w[1], w[2])
 	default:
@@ -202,10 +204,16 @@
 func (s *script) falseDeaths() int {
 	count := 0
 	for _, n := range s.net.Nodes {
-		for _, e := range n.Log {
-			if c, ok := e.Decision.(membership.HostChanged); ok && e.At.After(s.mark) && c.To() == membership.Dead {
-				count++
-			}
+		count += deaths(n, s.mark)
+	}
+	return count
+}
+
+func deaths(n *benchmembers.Node, since time.Time) int {
+	count := 0
+	for _, e := range n.Log {
+		if c, ok := e.Decision.(membership.HostChanged); ok && e.At.After(since) && c.To() == membership.Dead {
+			count++
 		}
 	}
 	return count
--- a/test/benchmembers/run.go
+++ b/test/benchmembers/run.go
@@ -42,12 +42,37 @@
 // sizes are the numbers of hosts and failure domains.
 var sizes = []struct{ hosts, domains int }{{8, 3}, {16, 3}, {32, 3}, {64, 6}, {128, 12}, {410, 12}}
 
+// measure is one run and the figures that it gives.
+type measure struct {
+	run     func(hosts, domains int) []Figure
+	figures []string
+}
+
+var measures = []measure{
+	{steady, []string{"bytes_host", "bytes_relay", "cpu_host", "cpu_relay", "memory_host", "platform_calls"}},
+	{detection, []string{"detect_p50", "detect_p95", "detect_max", "detect_missed"}},
+	{lossAndPauses, []string{"false_suspicions", "false_deaths"}},
+	{adoption, []string{"adopt_platform_well", "adopt_platform_gone"}},
+}
+
+// wanted reports whether the run gives a figure that the filter selects.
+func (m measure) wanted(hosts int, filter string) bool {
+	return slices.ContainsFunc(m.figures, func(name string) bool {
+		return strings.Contains(nameOf(name, hosts), filter)
+	})
+}
+
+func nameOf(name string, hosts int) string { return fmt.Sprintf("members/%s/%d", name, hosts) }
+
 // Run measures every size and prints one JSON line a figure whose name contains the filter.
 func Run(w io.Writer, filter string) error {
 	enc := json.NewEncoder(w)
 	for _, size := range sizes {
-		for _, measure := range []func(int, int) []Figure{steady, detection, lossAndPauses, adoption} {
-			for _, f := range measure(size.hosts, size.domains) {
+		for _, m := range measures {
+			if !m.wanted(size.hosts, filter) {
+				continue
+			}
+			for _, f := range m.run(size.hosts, size.domains) {
 				if !strings.Contains(f.Name, filter) {
 					continue
 				}
@@ -61,7 +86,7 @@
 }
 
 func figure(name string, hosts int, value float64, unit string, bound float64) Figure {
-	return Figure{Name: fmt.Sprintf("members/%s/%d", name, hosts), Value: value, Unit: unit, Bound: &bound, Pass: value <= bound}
+	return Figure{Name: nameOf(name, hosts), Value: value, Unit: unit, Bound: &bound, Pass: value <= bound}
 }
 
 // counter encodes and decodes each message as the daemon does, and counts bytes and time.
@@ -240,7 +265,7 @@
 			}
 		}
 	}
-	suspicions := Figure{Name: fmt.Sprintf("members/false_suspicions/%d", hosts), Value: float64(suspects), Unit: "suspicions in 120 s", Pass: true}
+	suspicions := Figure{Name: nameOf("false_suspicions", hosts), Value: float64(suspects), Unit: "suspicions in 120 s", Pass: true}
 	return []Figure{suspicions, figure("false_deaths", hosts, float64(deaths), "verdicts in 120 s", boundFalseDeaths)}
 }
 
--- a/test/benchmembers/run_test.go
+++ b/test/benchmembers/run_test.go
@@ -13,7 +13,7 @@
 	if os.Getenv("FIGURES") == "" {
 		t.Skip("set FIGURES=1 to measure")
 	}
-	is.New(t).NoErr(Run(os.Stdout, ""))
+	is.New(t).NoErr(Run(os.Stdout, os.Getenv("NAME")))
 }
 
 // Guards against a benchmark that breaks unnoticed: the smallest size must print each figure.
