Tell hosts each other's operator address

Cause: the client could explain a request only on hosts given by hand, since the host list has no operator address. Change: HostState carries operator_address; status shows it. Conclusion: membership, peer and daemon tests pass.

--- a/internal/core/membership/record.go
+++ b/internal/core/membership/record.go
@@ -47,6 +47,8 @@
 	PeerAddress   string
 	FailureDomain string
 	Region        string
+	// Operator is the address for operators; the host list does not have it.
+	Operator string
 }
 
 // Record is what hosts tell each other about one host.
--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -167,7 +167,7 @@
 	d.members, err = members.New(members.Config{
 		Self: membership.Host{
 			ID: d.set.Host(), Address: d.set.Caller(), PeerAddress: d.set.Peer(),
-			FailureDomain: d.set.FailureDomain(), Region: d.set.Region(),
+			FailureDomain: d.set.FailureDomain(), Region: d.set.Region(), Operator: d.set.Operator(),
 		},
 		Peers: d.peers, HostList: hosts{client: d.hostList}, Objects: objects{client: d.objects},
 		Log:     d.journal.Log(),
--- a/internal/daemon/run/operator.go
+++ b/internal/daemon/run/operator.go
@@ -69,7 +69,7 @@
 	for _, k := range m.View() {
 		h := k.Host()
 		s.Hosts = append(s.Hosts, operator.HostStatus{
-			Host: h.ID, Address: h.Address, FailureDomain: h.FailureDomain, Region: h.Region,
+			Host: h.ID, Address: h.Address, Operator: h.Operator, FailureDomain: h.FailureDomain, Region: h.Region,
 			State: string(k.State()), Relay: k.Relay(), LoadPermille: k.LoadPermille(),
 		})
 	}
--- a/internal/peer/host/codec.go
+++ b/internal/peer/host/codec.go
@@ -37,16 +37,17 @@
 		state = string(r.State)
 	}
 	return &hostpb.HostState{
-		Host:          string(r.ID),
-		Address:       r.Address,
-		PeerAddress:   r.PeerAddress,
-		FailureDomain: r.FailureDomain,
-		Region:        r.Region,
-		Incarnation:   r.Incarnation,
-		Sequence:      r.Sequence,
-		State:         state,
-		LoadPermille:  uint32(r.LoadPermille + 1),
-		Generations:   r.Generations,
+		Host:            string(r.ID),
+		Address:         r.Address,
+		PeerAddress:     r.PeerAddress,
+		FailureDomain:   r.FailureDomain,
+		Region:          r.Region,
+		OperatorAddress: r.Operator,
+		Incarnation:     r.Incarnation,
+		Sequence:        r.Sequence,
+		State:           state,
+		LoadPermille:    uint32(r.LoadPermille + 1),
+		Generations:     r.Generations,
 	}
 }
 
@@ -63,6 +64,7 @@
 			PeerAddress:   w.GetPeerAddress(),
 			FailureDomain: w.GetFailureDomain(),
 			Region:        w.GetRegion(),
+			Operator:      w.GetOperatorAddress(),
 		},
 		Incarnation:  w.GetIncarnation(),
 		Sequence:     w.GetSequence(),
