Keep counts of a pipeline that is taken out and comes back

Cause: a pipeline that left the plan and came back while requests ran on it started from zero, so the host could use its share twice; its grant was forgotten too. Change: such a pipeline is kept aside until its requests have ended and its grant has run out. Only repeatable streams are preempted.

--- a/internal/core/routing/event.go
+++ b/internal/core/routing/event.go
@@ -39,7 +39,8 @@
 	Repeatable bool
 	// Key is the caller's idempotency key; empty means that duplicates cannot be recognised.
 	Key string
-	// Preemptible is true where the engine can resume the request after it was stopped.
+	// Preemptible is true where the engine can resume the request after it was stopped. It has no effect
+	// on plain calls and on work that may not be repeated.
 	Preemptible bool
 }
 
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -175,7 +175,7 @@
 	if r.cfg.Preamble != 0 {
 		r.service.preambles.touch(r.cfg.Preamble).add(t)
 	}
-	if r.cfg.Preemptible {
+	if r.cfg.Preemptible && r.cfg.Repeatable && !r.service.plain {
 		r.service.rememberPreemptible(r)
 	}
 	s.count(r, 1, -1)
--- a/internal/core/routing/requests.go
+++ b/internal/core/routing/requests.go
@@ -136,6 +136,7 @@
 			delete(s.endpoints, e.id)
 		}
 	}
+	r.service.forgetRetired(now, t)
 	delete(s.requests, r.cfg.Request)
 	if r.stopping {
 		r.service.preempting--
--- a/internal/core/routing/service.go
+++ b/internal/core/routing/service.go
@@ -40,6 +40,8 @@
 	queue   *admission.Queue
 	targets map[string]*target
 	list    []*target
+	// Targets taken out of the list on which requests still run or whose grant still holds.
+	retired map[string]*target
 	// Targets with a free slot, in no order, for random choice without a walk.
 	available []*target
 	limit     int
@@ -66,6 +68,7 @@
 		id:          id,
 		queue:       admission.New(admission.Config{}),
 		targets:     map[string]*target{},
+		retired:     map[string]*target{},
 		preambles:   newPreambles(),
 		budget:      newBudget(),
 		preemptible: map[int][]*request{},
@@ -136,6 +139,13 @@
 	}
 }
 
+// forgetRetired drops a target that was taken out of the list, unless requests run on it or its grant holds.
+func (s *service) forgetRetired(now time.Time, t *target) {
+	if held := t.granted && now.Before(t.until); t.removed && t.inflight == 0 && !held && s.retired[t.id] == t {
+		delete(s.retired, t.id)
+	}
+}
+
 // judge records whether the target counts as bad, and turns the pool guard on or off. It reports
 // whether the guard changed, which concerns every target of the service.
 //
--- a/internal/core/routing/system.go
+++ b/internal/core/routing/system.go
@@ -153,7 +153,15 @@
 }
 
 func (s *System) addTarget(svc *service, cfg PipelineConfig) {
-	t := newTarget(svc, cfg)
+	id := cfg.Pipeline.ID()
+	t, ok := svc.retired[id]
+	if ok {
+		// The pipeline was taken out and comes back while requests run on it or its grant holds; both count on.
+		delete(svc.retired, id)
+		t.removed, t.slots, t.pipeline, t.endpoints = false, cfg.Slots, cfg.Pipeline, nil
+	} else {
+		t = newTarget(svc, cfg)
+	}
 	for _, stage := range cfg.Pipeline.Stages() {
 		e, ok := s.endpoints[stage.Endpoint()]
 		if !ok {
@@ -172,6 +180,8 @@
 func (s *System) removeTarget(now time.Time, svc *service, t *target) {
 	t.removed = true
 	delete(svc.targets, t.id)
+	svc.retired[t.id] = t
+	svc.forgetRetired(now, t)
 	s.targets[t.id] = without(s.targets[t.id], t)
 	if len(s.targets[t.id]) == 0 {
 		delete(s.targets, t.id)
@@ -329,6 +339,8 @@
 func (s *System) wake(now time.Time) {
 	for len(s.wakes) > 0 && !s.wakes[0].at.After(now) {
 		e := heap.Pop(&s.wakes).(wakeEntry)
-		e.target.service.refresh(now, s.hosts, e.target)
+		svc := e.target.service
+		svc.refresh(now, s.hosts, e.target)
+		svc.forgetRetired(now, e.target)
 	}
 }
