Split a long condition in the routing service

Cause: one line computed and tested at once. Change: two lines; no behaviour changes. Conclusion: lint and all tests with -race pass.

--- a/internal/core/routing/service.go
+++ b/internal/core/routing/service.go
@@ -141,7 +141,8 @@
 
 // forgetRetired drops a target that was taken out of the list, unless requests run on it or its grant holds.
 func (s *service) forgetRetired(now time.Time, t *target) {
-	if held := t.granted && now.Before(t.until); t.removed && t.inflight == 0 && !held && s.retired[t.id] == t {
+	held := t.granted && now.Before(t.until)
+	if t.removed && t.inflight == 0 && !held && s.retired[t.id] == t {
 		delete(s.retired, t.id)
 	}
 }
