--- a/internal/daemon/journal/journal.go
+++ b/internal/daemon/journal/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,58 @@
 // for its whole lifetime cannot grow without limit.
 const linesPerRequest = 32
 
+// The fields that tie a line to a request; a stream has the identifier of the request that opened it.
+const (
+	requestField  = "request"
+	streamField   = "stream"
+	decisionField = "decision"
+)
+
+// hook remembers the lines of each request, whichever part of the daemon wrote them.
+type hook struct{ journal *Journal }
+
+// Levels implements logrus.Hook.
+func (hook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h hook) Fire(entry *logrus.Entry) error {
+	id := textOf(entry.Data[requestField])
+	if id == "" {
+		id = textOf(entry.Data[streamField])
+	}
+	if id == "" {
+		return nil
+	}
+	// Routing numbers the dispatches of one request behind a slash.
+	id, _, _ = strings.Cut(id, "/")
+	fields := Fields{}
+	for name, value := range entry.Data {
+		if name == "host" || name == requestField || name == decisionField {
+			continue
+		}
+		if err, ok := value.(error); ok {
+			// An error has no exported fields, so it would be written as an empty object.
+			value = err.Error()
+		}
+		fields[name] = value
+	}
+	h.journal.remember(table.RequestID(id), Line{Time: entry.Time, Decision: entry.Message, Fields: fields})
+	return nil
+}
+
+func textOf(v any) string {
+	switch x := v.(type) {
+	case string:
+		return x
+	case table.StreamID:
+		return string(x)
+	case table.RequestID:
+		return string(x)
+	default:
+		return ""
+	}
+}
+
 // Fields are the structured values of a log line.
 type Fields = logrus.Fields
 
@@ -58,10 +111,12 @@
 		}
 		logger.SetLevel(level)
 	}
-	return &Journal{
+	j := &Journal{
 		entry: logger.WithField("host", string(cfg.Host)),
 		lines: map[table.RequestID][]Line{},
-	}, nil
+	}
+	logger.AddHook(hook{journal: j})
+	return j, nil
 }
 
 // Log returns the logger for lines that are no decisions.
@@ -69,10 +124,9 @@
 
 // Decision writes one line for a decision; an empty request means that it belongs to none.
 func (j *Journal) Decision(request table.RequestID, decision string, fields Fields) {
-	entry := j.entry.WithFields(fields).WithField("decision", decision)
+	entry := j.entry.WithFields(fields).WithField(decisionField, decision)
 	if request != "" {
-		entry = entry.WithField("request", string(request))
-		j.remember(request, Line{Time: time.Now(), Decision: decision, Fields: fields})
+		entry = entry.WithField(requestField, string(request))
 	}
 	entry.Info(decision)
 }
--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -17,7 +17,6 @@
 	"github.com/rotisserie/eris"
 
 	"waxwingplank/internal/core/claim"
-	"waxwingplank/internal/core/document"
 	"waxwingplank/internal/core/membership"
 	"waxwingplank/internal/core/quarantine"
 	"waxwingplank/internal/core/routing"
@@ -145,12 +144,7 @@
 		Engines: d.engine, Journal: d.journal, Post: d.dispatcher.Post, Clock: time.Now,
 		OnIncarnation: d.runner.SetIncarnation, OnCrash: d.endpointRestarted,
 	})
-	d.members.OnDocument(func(doc document.Document) {
-		d.journal.Decision("", "document_adopted", journal.Fields{
-			"service": string(doc.Service()), "generation": doc.Generation(),
-		})
-		d.fleet.Adopt(doc)
-	})
+	d.members.OnDocument(d.fleet.Adopt)
 	d.caller = caller.New(caller.Config{
 		Backend: d, BodyBytes: d.set.BodyBytes(), Streams: d.set.Streams(), RequestLifetime: d.set.MaxRequest(),
 		HeartbeatEvery: callerHeartbeat, NewRequestID: d.newRequestID,
@@ -211,10 +205,11 @@
 	if err := d.listen(parts); err != nil {
 		return eris.Wrap(err, "run.Run")
 	}
-	for _, part := range []func(context.Context){d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.sweep} {
+	for _, part := range []func(context.Context){d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.sweep, d.reportLoad} {
 		d.tasks.Go(func() { part(parts) })
 	}
 	d.members.Start()
+	d.publishMetrics()
 	d.journal.Log().WithField("caller_address", d.set.Caller()).Info("host started")
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/daemon/run/metrics.go
@@ -0,0 +1,68 @@
+package run
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"waxwingplank/internal/core/table"
+)
+
+// metricsName is the expvar variable that holds all metrics of a host.
+const metricsName = "waxwingplank"
+
+// publishMetrics publishes the metrics of this host. The names live as long as the process, so a second
+// daemon in one process, as in a bench, publishes none.
+func (d *Daemon) publishMetrics() {
+	if expvar.Get(metricsName) != nil {
+		return
+	}
+	expvar.Publish(metricsName, expvar.Func(func() any { return d.metrics() }))
+}
+
+type metrics struct {
+	Host            table.HostID      `json:"host"`
+	Draining        bool              `json:"draining"`
+	StreamsInFlight int64             `json:"streams_in_flight"`
+	CallsInFlight   int64             `json:"calls_in_flight"`
+	TokensDelivered int64             `json:"tokens_delivered"`
+	TokensDropped   int64             `json:"tokens_dropped"`
+	AttemptFailures int64             `json:"attempt_failures"`
+	AttemptSilences int64             `json:"attempt_silences"`
+	EndpointCrashes int64             `json:"endpoint_crashes"`
+	StreamsRefused  int64             `json:"streams_refused"`
+	HostsLive       int               `json:"hosts_live"`
+	Generations     map[string]uint64 `json:"document_generations"`
+	InForce         map[string]uint64 `json:"document_generations_in_force"`
+}
+
+func (d *Daemon) metrics() metrics {
+	c := d.runner.Counters()
+	m := metrics{
+		Host: d.set.Host(), Draining: d.draining.Load(),
+		StreamsInFlight: d.inflight.streams.Load(), CallsInFlight: d.inflight.calls.Load(),
+		TokensDelivered: c.Delivered, TokensDropped: c.Dropped, AttemptFailures: c.Failures,
+		AttemptSilences: c.Silences, EndpointCrashes: c.Crashes, StreamsRefused: c.Refused,
+		HostsLive: len(d.members.Live()), Generations: map[string]uint64{}, InForce: map[string]uint64{},
+	}
+	for _, doc := range d.members.Documents() {
+		m.Generations[string(doc.Service())] = doc.Generation()
+		m.InForce[string(doc.Service())] = d.members.InForce(doc.Service())
+	}
+	return m
+}
+
+// reportLoad tells the other hosts which part of this host's streams is in use; the order of address
+// answers follows it.
+func (d *Daemon) reportLoad(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.members.SetLoad(int(d.inflight.streams.Load() * 1000 / int64(d.set.Streams())))
+		}
+	}
+}
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -10,9 +10,12 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
+	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
 	"waxwingplank/test/system"
@@ -21,17 +24,35 @@
 // runTimeout bounds the whole demo.
 const runTimeout = 60 * time.Second
 
+// serveTimeout bounds how long --serve keeps the system running.
+const serveTimeout = 10 * time.Minute
+
 const draftTokens = 40
 
+type options struct {
+	Serve bool `long:"serve" description:"keep the system running for up to 10 minutes, or until interrupted"`
+}
+
 func main() {
-	if err := run(); err != nil {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(opts); err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
+func run(opts options) error {
+	timeout := runTimeout
+	if opts.Serve {
+		timeout += serveTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	exe, err := os.Executable()
 	if err != nil {
@@ -50,7 +71,11 @@
 	}
 	defer s.Close()
 	fmt.Printf("started 1 platform, %d engines, %d plain services, %d hosts\n", len(s.Engines), len(s.Plain), len(s.Hosts))
-	steps := []func(context.Context, *system.System) error{draft, register, lookup, stop}
+	steps := []func(context.Context, *system.System) error{draft, register, lookup}
+	if opts.Serve {
+		steps = append(steps, serve)
+	}
+	steps = append(steps, stop)
 	for _, step := range steps {
 		if err := step(ctx, s); err != nil {
 			return err
@@ -143,6 +168,20 @@
 	return nil
 }
 
+// serve keeps the system running, for trying requests by hand.
+func serve(ctx context.Context, s *system.System) error {
+	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	for _, h := range s.Hosts {
+		fmt.Printf("%s: callers http://%s, operators http://%s, settings %s\n", h.ID, h.Caller, h.Operator, h.Settings())
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(serveTimeout):
+	}
+	return nil
+}
+
 func stop(ctx context.Context, s *system.System) error {
 	for _, h := range s.Hosts {
 		if err := h.Stop(ctx); err != nil {
--- a/test/system/system.go
+++ b/test/system/system.go
@@ -71,6 +71,9 @@
 	settings string
 }
 
+// Settings returns the settings file of the host.
+func (h *Host) Settings() string { return h.settings }
+
 // System is a running system.
 type System struct {
 	cfg      Config
