Give each test system its own loopback addresses

Cause: make test failed once: a host found its port taken. The ports were chosen, closed and used later, so an outgoing connection of another test, or the next choice itself, could take them. Change: hosts of a test system listen on a loopback network of its own; the listeners stay open until the last port is chosen. Conclusion: ports no longer collide.

--- a/test/system/process.go
+++ b/test/system/process.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -130,12 +132,30 @@
 	}
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "system.freeAddress")
+// lastNetwork numbers the systems of this process.
+var lastNetwork atomic.Uint32
+
+// network returns the first three numbers of loopback addresses that no other system uses. Ports of
+// 127.0.0.1 would be taken by outgoing connections of other tests between choosing and using them.
+func network() (string, error) {
+	var random [2]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return "", eris.Wrap(err, "system.network")
+	}
+	return fmt.Sprintf("127.%d.%d", 1+random[0]%254, (uint32(random[1])+lastNetwork.Add(1))%256), nil
+}
+
+// freeAddresses returns addresses of the given IP number with ports that the system chose. All listeners
+// stay open until the last port is chosen, since the system may choose a closed one again.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", ip+":0")
+		if err != nil {
+			return nil, eris.Wrap(err, "system.freeAddresses")
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return out, nil
 }
--- a/test/system/system.go
+++ b/test/system/system.go
@@ -77,6 +77,7 @@
 // System is a running system.
 type System struct {
 	cfg      Config
+	network  string
 	Platform *Process
 	Engines  []*Process
 	Plain    []*Process
@@ -95,6 +96,9 @@
 
 func (s *System) start(ctx context.Context) error {
 	var err error
+	if s.network, err = network(); err != nil {
+		return err
+	}
 	args := []string{
 		"platform", "--weight-bytes-per-second=1000000000", "--weight-loads-at-once=4",
 		"--reads-per-second=" + strconv.Itoa(s.cfg.ReadsPerSecond), "--writes-per-second=" + strconv.Itoa(s.cfg.WritesPerSecond),
@@ -181,13 +185,11 @@
 
 func (s *System) prepareHost(i int) (*Host, error) {
 	h := &Host{ID: fmt.Sprintf("host-%d", i), Domain: fmt.Sprintf("domain-%d", i%3)}
-	for _, a := range []*string{&h.Caller, &h.Peer, &h.Operator} {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		*a = address
+	ports, err := freeAddresses(fmt.Sprintf("%s.%d", s.network, i+1), 3)
+	if err != nil {
+		return nil, err
 	}
+	h.Caller, h.Peer, h.Operator = ports[0], ports[1], ports[2]
 	level := s.cfg.LogLevel
 	if level == "" {
 		level = "info"
