End callers' connections that are silent for 2 s

Cause: a connection that something on the way has lost track of stays open, and its stream keeps a place on every stage until the text ends. Change: TCP_USER_TIMEOUT of 2 s and keepalives on listeners for callers and operators. Conclusion: the bound holds as far as the kernel keeps its documented word; no packet loss was caused here.

--- a/internal/daemon/run/tls.go
+++ b/internal/daemon/run/tls.go
@@ -37,7 +37,7 @@
 
 // listenTLS listens for callers or operators, with the callers' certificate where one is set.
 func (d *Daemon) listenTLS(ctx context.Context, address string) (net.Listener, error) {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	listener, err := listenTCP(ctx, address)
 	if err != nil {
 		return nil, eris.Wrap(err, "run.listenTLS")
 	}
