--- a/internal/daemon/credentials/credentials_test.go
+++ b/internal/daemon/credentials/credentials_test.go
@@ -1,15 +1,8 @@
 package credentials
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -21,6 +14,7 @@
 	"github.com/rogpeppe/go-internal/txtar"
 
 	"waxwingplank/internal/core/outcome"
+	"waxwingplank/test/authority"
 )
 
 var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
@@ -55,63 +49,21 @@
 	}
 }
 
-type authority struct {
-	t    *testing.T
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	dir  string
-}
-
-func newAuthority(t *testing.T) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+func newAuthority(t *testing.T) func(name string, until time.Time) TLSConfig {
+	t.Helper()
+	a, err := authority.New(authority.Config{Dir: t.TempDir(), Start: start.Add(-time.Hour)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &authority{t: t, key: key, dir: t.TempDir()}
-	a.cert = &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-		NotBefore: start.Add(-time.Hour), NotAfter: start.Add(24 * time.Hour),
-	}
-	a.write("ca", a.cert, key)
-	return a
-}
-
-func (a *authority) write(name string, cert *x509.Certificate, key *ecdsa.PrivateKey) TLSConfig {
-	der, err := x509.CreateCertificate(rand.Reader, cert, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	raw, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	cfg := TLSConfig{
-		CertFile: filepath.Join(a.dir, name+".crt"), KeyFile: filepath.Join(a.dir, name+".key"),
-		CAFile: filepath.Join(a.dir, "ca.crt"), Now: func() time.Time { return start },
-	}
-	for file, block := range map[string]*pem.Block{
-		cfg.CertFile: {Type: "CERTIFICATE", Bytes: der},
-		cfg.KeyFile:  {Type: "EC PRIVATE KEY", Bytes: raw},
-	} {
-		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
-			a.t.Fatal(err)
+	return func(name string, until time.Time) TLSConfig {
+		pair, err := a.Issue(name, until, net.IPv4(127, 0, 0, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return TLSConfig{
+			CertFile: pair.Cert(), KeyFile: pair.Key(), CAFile: pair.CA(), Now: func() time.Time { return start },
 		}
 	}
-	return cfg
-}
-
-func (a *authority) issue(name string, until time.Time) TLSConfig {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	return a.write(name, &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name},
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore:   start.Add(-time.Hour), NotAfter: until,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}, key)
 }
 
 func handshake(t *testing.T, server, client TLSConfig) error {
@@ -152,16 +104,16 @@
 // Guards against a host that accepts a foreign key or an expired certificate, on either side.
 func TestMutualTLS(t *testing.T) {
 	own, foreign := newAuthority(t), newAuthority(t)
-	good := own.issue("good", start.Add(time.Hour))
+	good := own("good", start.Add(time.Hour))
 	cases := []struct {
 		name           string
 		server, client TLSConfig
 		ok             bool
 	}{
-		{"both good", good, own.issue("other", start.Add(time.Hour)), true},
-		{"foreign client", good, foreign.issue("x", start.Add(time.Hour)), false},
-		{"expired client", good, own.issue("late", start.Add(-time.Minute)), false},
-		{"expired server", own.issue("old", start.Add(-time.Minute)), good, false},
+		{"both good", good, own("other", start.Add(time.Hour)), true},
+		{"foreign client", good, foreign("x", start.Add(time.Hour)), false},
+		{"expired client", good, own("late", start.Add(-time.Minute)), false},
+		{"expired server", own("old", start.Add(-time.Minute)), good, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- /dev/null
+++ b/test/authority/authority.go
@@ -0,0 +1,102 @@
+package authority
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Config describes an Authority.
+type Config struct {
+	// Dir takes the files.
+	Dir string
+	// Start is when the certificates become valid.
+	Start time.Time
+}
+
+// Authority signs certificates.
+type Authority struct {
+	cfg  Config
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// Pair names the files of one certificate.
+type Pair struct{ cert, key, ca string }
+
+// Cert returns the certificate file.
+func (p Pair) Cert() string { return p.cert }
+
+// Key returns the key file.
+func (p Pair) Key() string { return p.key }
+
+// CA returns the file of the authority's own certificate.
+func (p Pair) CA() string { return p.ca }
+
+// New returns an authority.
+func New(cfg Config) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "authority.New")
+	}
+	a := &Authority{cfg: cfg, key: key, cert: &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+		NotBefore: cfg.Start, NotAfter: cfg.Start.Add(48 * time.Hour),
+	}}
+	if _, err := a.write("ca", a.cert, key); err != nil {
+		return nil, eris.Wrap(err, "authority.New")
+	}
+	return a, nil
+}
+
+// Issue writes a certificate that is valid until a time and for the IP numbers.
+func (a *Authority) Issue(name string, until time.Time, ips ...net.IP) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, eris.Wrap(err, "authority.Issue")
+	}
+	return a.write(name, &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, IPAddresses: ips,
+		NotBefore: a.cfg.Start, NotAfter: until,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, key)
+}
+
+func (a *Authority) write(name string, cert *x509.Certificate, key *ecdsa.PrivateKey) (Pair, error) {
+	der, err := x509.CreateCertificate(rand.Reader, cert, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return Pair{}, eris.Wrap(err, "authority.write")
+	}
+	raw, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return Pair{}, eris.Wrap(err, "authority.write")
+	}
+	pair := Pair{
+		cert: filepath.Join(a.cfg.Dir, name+".crt"),
+		key:  filepath.Join(a.cfg.Dir, name+".key"),
+		ca:   filepath.Join(a.cfg.Dir, "ca.crt"),
+	}
+	if err := writePEM(pair.cert, "CERTIFICATE", der); err != nil {
+		return Pair{}, err
+	}
+	return pair, writePEM(pair.key, "EC PRIVATE KEY", raw)
+}
+
+func writePEM(path, kind string, der []byte) error {
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return eris.Wrap(err, "authority.writePEM")
+	}
+	return nil
+}
--- /dev/null
+++ b/test/authority/doc.go
@@ -0,0 +1,2 @@
+// Package authority issues certificates for tests.
+package authority
