Send heartbeats to callers only in pauses

Cause: a caller was sent a comment every 500 ms also while tokens came every 49 ms.

Change: the comment is sent when 500 ms have passed since the last event.

--- a/internal/ingress/caller/events.go
+++ b/internal/ingress/caller/events.go
@@ -31,6 +31,7 @@
 	started  bool
 	closed   bool
 	deadline time.Time
+	written  time.Time
 }
 
 func newEventWriter(w http.ResponseWriter, every time.Duration, cancel context.CancelFunc) *eventWriter {
@@ -104,6 +105,12 @@
 	if e.closed {
 		return
 	}
+	// An event tells the caller as much as a comment, and the write of a comment costs as much as that of a
+	// token. The pause between two writes stays within one period either way.
+	if pause := time.Since(e.written); e.started && pause < e.every {
+		e.timer.Reset(e.every - pause)
+		return
+	}
 	if e.started {
 		e.buf = append(e.buf[:0], ": heartbeat\n\n"...)
 		if err := e.write(); err != nil {
@@ -122,8 +129,9 @@
 		e.started = true
 	}
 	// Moving the deadline costs a timer update, so it moves only when a quarter of it has passed.
-	if now := time.Now(); e.deadline.Sub(now) < writeTimeout {
-		e.deadline = now.Add(writeTimeout + writeTimeout/4)
+	e.written = time.Now()
+	if e.deadline.Sub(e.written) < writeTimeout {
+		e.deadline = e.written.Add(writeTimeout + writeTimeout/4)
 		_ = e.ctl.SetWriteDeadline(e.deadline)
 	}
 	if _, err := e.w.Write(e.buf); err != nil {
