Look up the workspace of a request without copying the list

Cause: each request copied the workspaces of its document twice.

Change: Document.Workspace and Document.AnyWorkspace read the list in place.

--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -115,6 +115,20 @@
 // Workspaces returns the shares of the workspaces.
 func (d Document) Workspaces() []Workspace { return slices.Clone(d.cfg.Workspaces) }
 
+// AnyWorkspace reports whether the document names no workspaces, so that each may use the service.
+func (d Document) AnyWorkspace() bool { return len(d.cfg.Workspaces) == 0 }
+
+// Workspace returns the share of one workspace; ok is false where the document does not name it. Every request
+// asks for one of thousands, so the list is not copied.
+func (d Document) Workspace(name string) (share Workspace, ok bool) {
+	for i := range d.cfg.Workspaces {
+		if d.cfg.Workspaces[i].Name == name {
+			return d.cfg.Workspaces[i], true
+		}
+	}
+	return Workspace{}, false
+}
+
 // Kinds returns the kinds of requests with their priorities.
 func (d Document) Kinds() []RequestKind { return slices.Clone(d.cfg.Kinds) }
 
--- a/internal/core/document/document_test.go
+++ b/internal/core/document/document_test.go
@@ -125,3 +125,18 @@
 		}
 	})
 }
+
+// Guards against a workspace that is let in without being named, or served with the weight of another.
+func TestWorkspaceLookup(t *testing.T) {
+	is := is.New(t)
+	d := page(t)
+	is.True(len(d.Workspaces()) > 0 && !d.AnyWorkspace())
+	for _, want := range d.Workspaces() {
+		got, ok := d.Workspace(want.Name)
+		is.True(ok)
+		is.Equal(got, want)
+	}
+	_, ok := d.Workspace("nobody")
+	is.True(!ok)
+	is.True(document.Document{}.AnyWorkspace())
+}
--- a/internal/daemon/run/requests.go
+++ b/internal/daemon/run/requests.go
@@ -110,13 +110,11 @@
 		return rules{}, d.refuse(req, outcome.BadRequest, fmt.Sprintf("service %q is of kind %s", req.Service, doc.Kind()))
 	}
 	out := rules{doc: doc, weight: 1}
-	allowed := len(doc.Workspaces()) == 0
-	for _, w := range doc.Workspaces() {
-		if w.Name == string(req.Workspace) {
-			out.weight, allowed = int(w.Weight), true
-		}
+	share, named := doc.Workspace(string(req.Workspace))
+	if named {
+		out.weight = int(share.Weight)
 	}
-	if !allowed {
+	if !named && !doc.AnyWorkspace() {
 		return out, d.refuse(req, outcome.Forbidden, fmt.Sprintf("workspace %q is not in the document of service %q", req.Workspace, req.Service))
 	}
 	known := req.Kind == ""
