Pass a forwarded request's origin by its writer, not by its context

Cause: contexts carry deadlines only in this project, but who forwarded a request travelled as a context value. Change: the writer towards a peer tells hops, workspace and request id. Conclusion: one entry point less (ServeForwarded).

--- a/internal/daemon/run/peers.go
+++ b/internal/daemon/run/peers.go
@@ -35,27 +35,39 @@
 	if err != nil {
 		return eris.Wrap(err, "run.Forward")
 	}
-	id := table.RequestID("")
+	w := &partWriter{sink: sink, header: http.Header{}, in: in}
 	for _, h := range in.GetHeaders() {
 		if h.GetName() == caller.HeaderRequestID {
-			id = table.RequestID(h.GetValue())
+			w.request = table.RequestID(h.GetValue())
 			continue
 		}
 		r.Header.Add(h.GetName(), h.GetValue())
 	}
-	w := &partWriter{sink: sink, header: http.Header{}}
-	p.daemon.caller.ServeForwarded(w, r, int(in.GetHops()), table.WorkspaceID(in.GetWorkspace()), id)
+	p.daemon.caller.ServeHTTP(w, r)
 	return w.finish()
 }
 
 // partWriter sends an HTTP answer in parts.
 type partWriter struct {
+	in      *hostpb.ForwardRequest
+	request table.RequestID
 	sink    *host.Sink
 	header  http.Header
 	started bool
 	err     error
 }
 
+var _ caller.Forwarded = (*partWriter)(nil)
+
+// Hops implements caller.Forwarded.
+func (w *partWriter) Hops() int { return int(w.in.GetHops()) }
+
+// Workspace implements caller.Forwarded.
+func (w *partWriter) Workspace() table.WorkspaceID { return table.WorkspaceID(w.in.GetWorkspace()) }
+
+// RequestID implements caller.Forwarded.
+func (w *partWriter) RequestID() table.RequestID { return w.request }
+
 // Header implements http.ResponseWriter.
 func (w *partWriter) Header() http.Header { return w.header }
 
--- a/internal/ingress/caller/caller.go
+++ b/internal/ingress/caller/caller.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -74,18 +73,13 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
 
-type forwarded struct {
-	hops      int
-	workspace table.WorkspaceID
-	id        table.RequestID
-}
-
-type forwardedKey struct{}
-
-// ServeForwarded serves a request that a peer has authenticated and passed on.
-func (h *Handler) ServeForwarded(w http.ResponseWriter, r *http.Request, hops int, ws table.WorkspaceID, id table.RequestID) {
-	ctx := context.WithValue(r.Context(), forwardedKey{}, forwarded{hops: hops, workspace: ws, id: id})
-	h.router.ServeHTTP(w, r.WithContext(ctx))
+// Forwarded is a ResponseWriter towards a peer that has authenticated the caller and passed the request on.
+type Forwarded interface {
+	http.ResponseWriter
+	// Hops counts the hosts that passed the request on.
+	Hops() int
+	Workspace() table.WorkspaceID
+	RequestID() table.RequestID
 }
 
 func (h *Handler) addresses(w http.ResponseWriter, r *http.Request) {
@@ -106,8 +100,8 @@
 		Key:       r.Header.Get(HeaderKey),
 		FirstSend: r.Header.Get(HeaderAttempt) == "1",
 	}
-	if fwd, ok := r.Context().Value(forwardedKey{}).(forwarded); ok {
-		req.ID, req.Hops, req.Workspace = fwd.id, fwd.hops, fwd.workspace
+	if peer, ok := w.(Forwarded); ok {
+		req.ID, req.Hops, req.Workspace = peer.RequestID(), peer.Hops(), peer.Workspace()
 	} else {
 		req.ID = h.cfg.NewRequestID()
 		ws, err := h.cfg.Backend.Workspace(bearer(r), r.Header.Get(HeaderWorkspace), req.FirstSend)
