Bound the time for a request's body and test the callers' interface

Cause: a caller that sent its body byte by byte held a place of the host without end. Ruled out: lifting the read deadline after a timeout; the server then waits for the rest of the body before it answers, and the test saw no answer within 3 s.

--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -46,6 +46,8 @@
 	callerHeartbeat = 500 * time.Millisecond
 	// headerTimeout bounds how long a connection may take for its headers.
 	headerTimeout = 5 * time.Second
+	// bodyTimeout lets a body of the largest size in at 1 Mbit/s.
+	bodyTimeout = 10 * time.Second
 	// idleTimeout closes connections that carry no request, so that callers that vanished free them.
 	idleTimeout = 60 * time.Second
 	maxAttempts = 8
@@ -146,7 +148,7 @@
 	})
 	d.members.OnDocument(d.fleet.Adopt)
 	d.caller = caller.New(caller.Config{
-		Backend: d, BodyBytes: d.set.BodyBytes(), Streams: d.set.Streams(), RequestLifetime: d.set.MaxRequest(),
+		Backend: d, BodyBytes: d.set.BodyBytes(), BodyTimeout: bodyTimeout, Streams: d.set.Streams(), RequestLifetime: d.set.MaxRequest(),
 		HeartbeatEvery: callerHeartbeat, NewRequestID: d.newRequestID,
 	})
 	return nil
--- a/internal/ingress/caller/answer.go
+++ b/internal/ingress/caller/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -100,8 +101,19 @@
 	}
 }
 
-func (h *Handler) readBody(r *http.Request) ([]byte, error) {
+// readBody reads the body within its size and time; a caller that sends it byte by byte holds no place for long.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	ctl := http.NewResponseController(w)
+	// A writer towards a peer has no connection of its own; its body is there already.
+	_ = ctl.SetReadDeadline(time.Now().Add(h.cfg.BodyTimeout))
 	body, err := io.ReadAll(io.LimitReader(r.Body, h.cfg.BodyBytes+1))
+	if err == nil {
+		// After a failure the deadline stays: the server reads the rest of the body before it answers.
+		_ = ctl.SetReadDeadline(time.Time{})
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, refusal(outcome.BadRequest, "body: did not arrive in time", firstSend(r))
+	}
 	if err != nil {
 		return nil, refusal(outcome.BadRequest, eris.Wrap(err, "body").Error(), firstSend(r))
 	}
--- a/internal/ingress/caller/call.go
+++ b/internal/ingress/caller/call.go
@@ -25,7 +25,7 @@
 		h.refuse(w, refusal(outcome.BadRequest, "the path of the call is empty or not clean", req.FirstSend))
 		return
 	}
-	body, err := h.readBody(r)
+	body, err := h.readBody(w, r)
 	if err != nil {
 		h.refuse(w, err)
 		return
--- a/internal/ingress/caller/caller.go
+++ b/internal/ingress/caller/caller.go
@@ -38,6 +38,8 @@
 	Backend Backend
 	// BodyBytes bounds the body of a request.
 	BodyBytes int64
+	// BodyTimeout bounds the time for the body of a request.
+	BodyTimeout time.Duration
 	// Streams bounds the streams served at once.
 	Streams int
 	// RequestLifetime bounds the time from arrival to the end of the answer.
--- /dev/null
+++ b/internal/ingress/caller/caller_test.go
@@ -0,0 +1,137 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"waxwingplank/internal/core/outcome"
+	"waxwingplank/internal/core/table"
+)
+
+// fakeBackend answers as the prompt or path of the request says.
+type fakeBackend struct{}
+
+func (fakeBackend) Addresses(context.Context, table.ServiceID) ([]Address, time.Duration, error) {
+	return []Address{{Address: "192.0.2.1:80", FailureDomain: "d"}}, 5 * time.Second, nil
+}
+
+func (fakeBackend) Workspace(_, name string, first bool) (table.WorkspaceID, error) {
+	if name == "" {
+		return "", refusal(outcome.Unauthorized, "no workspace", first)
+	}
+	return table.WorkspaceID(name), nil
+}
+
+func (fakeBackend) Stream(ctx context.Context, req StreamRequest, sink Sink) error {
+	switch req.Prompt {
+	case "full":
+		return outcome.NewRefusal(outcome.RefusalConfig{
+			Code: outcome.QueueFull, Message: "full", Facts: outcome.Facts{FirstSend: req.FirstSend}, RetryAfter: 1500 * time.Millisecond,
+		})
+	case "broken":
+		return errors.New("unknown fault")
+	case "late":
+		<-ctx.Done()
+		return outcome.NewRefusal(outcome.RefusalConfig{Code: outcome.Timeout, Message: "late", Facts: outcome.Facts{BytesSent: true}})
+	}
+	if err := sink.Token("id-0", 0, "a\n\"b"); err != nil {
+		return err
+	}
+	if req.Prompt == "half" {
+		return outcome.NewRefusal(outcome.RefusalConfig{Code: outcome.EndpointFailed, Message: "half", Facts: outcome.Facts{BytesSent: true}})
+	}
+	return sink.Done(1, "length")
+}
+
+func (fakeBackend) Call(_ context.Context, req CallRequest) (CallAnswer, error) {
+	return CallAnswer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte(req.Method + " " + req.Path)}, nil
+}
+
+func (fakeBackend) PassOn(Request, *CallRequest) (table.HostID, bool) { return "", false }
+
+func (fakeBackend) Forward(http.ResponseWriter, *http.Request, []byte, Request, table.HostID) (bool, error) {
+	return false, errors.New("not expected")
+}
+
+func serve(t *testing.T) string {
+	t.Helper()
+	h := New(Config{
+		Backend: fakeBackend{}, BodyBytes: 64, BodyTimeout: 100 * time.Millisecond, Streams: 4, RequestLifetime: 300 * time.Millisecond,
+		HeartbeatEvery: 50 * time.Millisecond, NewRequestID: func() table.RequestID { return "r-1" },
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 200 * time.Millisecond, MaxHeaderBytes: 4096}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-done
+	})
+	return listener.Addr().String()
+}
+
+// exchange writes the text to a connection and returns the answer; where the text is cut short, the rest never comes.
+func exchange(t *testing.T, address, text string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	text = strings.ReplaceAll(text, "LONG", strings.Repeat("x", 8192))
+	if _, err := conn.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	if strings.HasSuffix(text, "CUT") {
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "no answer"
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("%d outcome=%s retry=%s\n%s",
+		resp.StatusCode, resp.Header.Get(HeaderOutcome), resp.Header.Get("Retry-After"), bytes.TrimSpace(body))
+}
+
+// Guards against malformed, oversized, truncated and slow requests that crash a host or are answered unclearly.
+func TestRequests(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/requests.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := serve(t)
+	for _, f := range archive.Files {
+		request, want, _ := strings.Cut(string(f.Data), "\n=>\n")
+		t.Run(f.Name, func(t *testing.T) {
+			is := is.New(t)
+			head, body, _ := strings.Cut(request, "\n\n")
+			is.Equal(exchange(t, address, strings.ReplaceAll(head, "\n", "\r\n")+"\r\n\r\n"+body), strings.TrimSpace(want))
+		})
+	}
+}
--- a/internal/ingress/caller/stream.go
+++ b/internal/ingress/caller/stream.go
@@ -31,7 +31,7 @@
 		h.refuse(w, err)
 		return
 	}
-	body, err := h.readBody(r)
+	body, err := h.readBody(w, r)
 	if err != nil {
 		h.refuse(w, err)
 		return
