--- a/internal/client/command/apply.go
+++ b/internal/client/command/apply.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := operator.ParseDocument(data)
+	d, err := document.Parse(data)
 	if err != nil {
 		return fail(exitBad, "%s", checkData(c.Args.File, data))
 	}
@@ -171,7 +171,7 @@
 	if len(detail.Theirs) == 0 {
 		return none, fail(exitConflict, "conflict: the file is based on generation %d of %s, but no such service is stored", base, d.Service())
 	}
-	theirs, err := operator.ParseDocument(detail.Theirs)
+	theirs, err := document.Parse(detail.Theirs)
 	if err != nil {
 		return none, fail(exitConflict, "conflict: %s", detail.Message)
 	}
--- a/internal/client/command/check.go
+++ b/internal/client/command/check.go
@@ -8,7 +8,6 @@
 	"waxwingplank/internal/core/document"
 	"waxwingplank/internal/core/jsonc"
 	"waxwingplank/internal/daemon/settings"
-	"waxwingplank/internal/ingress/operator"
 )
 
 type checkCommand struct {
@@ -76,7 +75,7 @@
 	if _, err = jsonc.Decode(data, &fields); err == nil {
 		if _, ok := fields["service"]; ok {
 			r.Kind = "service document"
-			_, err = operator.ParseDocument(data)
+			_, err = document.Parse(data)
 		} else {
 			r.Kind = "settings"
 			_, err = settings.Parse(data)
--- a/internal/core/jsonc/jsonc.go
+++ b/internal/core/jsonc/jsonc.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"reflect"
 	"strings"
@@ -40,19 +39,28 @@
 	lines map[string]int
 }
 
+// Line returns the line of a field; a field that is missing has that of its nearest parent.
+func (f *File) Line(field string) int {
+	line, known := f.lines[field]
+	for !known && field != "" {
+		field = field[:max(strings.LastIndexAny(field, ".["), 0)]
+		line, known = f.lines[field]
+	}
+	return max(line, 1)
+}
+
 // Fault returns an error about a field of the file.
 func (f *File) Fault(field, reason string) *Error {
-	// A missing field has no line of its own; its nearest parent stands in for it.
-	at := field
-	line, known := f.lines[at]
-	for !known && at != "" {
-		at = at[:max(strings.LastIndexAny(at, ".["), 0)]
-		line, known = f.lines[at]
-	}
-	return &Error{line: max(line, 1), field: field, reason: reason}
+	return &Error{line: f.Line(field), field: field, reason: reason}
+}
+
+// Given reports whether the file holds the field.
+func (f *File) Given(field string) bool {
+	_, ok := f.lines[field]
+	return ok
 }
 
-// Decode fills the structure that v points to and refuses unknown and duplicate fields, and nulls.
+// Decode fills the structure that v points to and refuses unknown and duplicate fields, wrong types and nulls.
 func Decode(data []byte, v any) (*File, error) {
 	root, err := hujson.Parse(data)
 	if err != nil {
@@ -63,13 +71,9 @@
 	if err := w.value(&root, reflect.TypeOf(v).Elem(), ""); err != nil {
 		return nil, err
 	}
-	// Standardize puts spaces in place of comments, so that offsets still fit the file.
-	plain, err := hujson.Standardize(bytes.Clone(data))
-	if err != nil {
-		return nil, syntaxError(data, err)
-	}
-	if err := json.Unmarshal(plain, v); err != nil {
-		return nil, typeError(data, err)
+	root.Standardize()
+	if err := json.Unmarshal(root.Pack(), v); err != nil {
+		return nil, &Error{line: 1, reason: err.Error()}
 	}
 	return file, nil
 }
@@ -84,12 +88,10 @@
 		t = t.Elem()
 	}
 	w.file.lines[path] = lineAt(w.data, v.StartOffset)
+	if reason := mismatch(v.Value, t); reason != "" {
+		return w.file.Fault(path, reason)
+	}
 	switch kind := v.Value.(type) {
-	case hujson.Literal:
-		// A null would leave the default in place, as if the field had not been written.
-		if kind.Kind() == 'n' {
-			return w.file.Fault(path, "must not be null")
-		}
 	case *hujson.Object:
 		return w.object(kind, t, path)
 	case *hujson.Array:
@@ -106,6 +108,47 @@
 	return nil
 }
 
+// mismatch returns why a value does not fit the type, or an empty string.
+func mismatch(v hujson.ValueTrimmed, t reflect.Type) string {
+	literal, isLiteral := v.(hujson.Literal)
+	if isLiteral && literal.Kind() == 'n' {
+		// A null would leave the default in place, as if the field had not been written.
+		return "must not be null"
+	}
+	if t == nil {
+		return ""
+	}
+	_, isObject := v.(*hujson.Object)
+	_, isArray := v.(*hujson.Array)
+	switch t.Kind() {
+	case reflect.String:
+		return unless(isLiteral && literal.Kind() == '"', "must be a string")
+	case reflect.Bool:
+		return unless(isLiteral && (literal.Kind() == 't' || literal.Kind() == 'f'), "must be true or false")
+	case reflect.Int, reflect.Int64:
+		return unless(isLiteral && isNumber(literal, t), "must be a whole number")
+	case reflect.Uint64:
+		return unless(isLiteral && isNumber(literal, t), "must be a whole number of at least 0")
+	case reflect.Slice:
+		return unless(isArray, "must be a list")
+	case reflect.Struct, reflect.Map:
+		return unless(isObject, "must be an object")
+	default:
+		return ""
+	}
+}
+
+func unless(ok bool, reason string) string {
+	if ok {
+		return ""
+	}
+	return reason
+}
+
+func isNumber(literal hujson.Literal, t reflect.Type) bool {
+	return literal.Kind() == '0' && json.Unmarshal(literal, reflect.New(t).Interface()) == nil
+}
+
 func (w *walker) object(o *hujson.Object, t reflect.Type, path string) error {
 	seen := map[string]bool{}
 	for i := range o.Members {
@@ -169,31 +212,6 @@
 	return &Error{line: line, reason: reason}
 }
 
-func typeError(data []byte, err error) error {
-	var wrong *json.UnmarshalTypeError
-	if errors.As(err, &wrong) {
-		return &Error{
-			line:   lineAt(data, int(wrong.Offset)),
-			field:  wrong.Field,
-			reason: fmt.Sprintf("is a %s, must be a %s", wrong.Value, typeName(wrong.Type)),
-		}
-	}
-	return &Error{line: 1, reason: err.Error()}
-}
-
-func typeName(t reflect.Type) string {
-	switch t.Kind() {
-	case reflect.Int, reflect.Int64, reflect.Uint64:
-		return "whole number"
-	case reflect.Slice:
-		return "list"
-	case reflect.Struct, reflect.Map:
-		return "object"
-	default:
-		return t.Kind().String()
-	}
-}
-
 func lineAt(data []byte, offset int) int {
 	return 1 + bytes.Count(data[:min(max(offset, 0), len(data))], []byte{'\n'})
 }
--- a/internal/ingress/operator/services.go
+++ b/internal/ingress/operator/services.go
@@ -13,7 +13,6 @@
 	"github.com/go-chi/chi/v5"
 
 	"waxwingplank/internal/core/document"
-	"waxwingplank/internal/core/jsonc"
 	"waxwingplank/internal/core/table"
 )
 
@@ -32,21 +31,6 @@
 	Changes    []string `json:"changes"`
 }
 
-// ParseDocument reads a service document; every error is a *document.Error.
-func ParseDocument(data []byte) (document.Document, error) {
-	d, err := document.Parse(data)
-	var fault *document.Error
-	if err == nil || errors.As(err, &fault) {
-		return d, err
-	}
-	// The document's own parser gives no line for text that is no JSON at all.
-	var syntax *jsonc.Error
-	if _, again := jsonc.Decode(data, &map[string]any{}); errors.As(again, &syntax) {
-		return d, &document.Error{Line: syntax.Line(), Field: syntax.Field(), Reason: syntax.Reason()}
-	}
-	return d, &document.Error{Line: 1, Reason: err.Error()}
-}
-
 // Changes lists what a document changes against the one in force, if any.
 func Changes(old document.Document, exists bool, d document.Document) []string {
 	changes := []string{}
@@ -130,7 +114,7 @@
 	if err != nil {
 		return document.Document{}, fmt.Errorf("body: %w", err)
 	}
-	d, err := ParseDocument(data)
+	d, err := document.Parse(data)
 	if err != nil {
 		return d, err
 	}
