--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"io"
 	"math/bits"
 	"strconv"
 	"time"
@@ -49,6 +50,8 @@
 	CrashDowntime    time.Duration
 	MaxExecutions    int
 	NoExecutionsKept bool
+	// Record takes a JSON line for each execution, so that a killed engine leaves its record.
+	Record io.Writer
 }
 
 // The defaults: a small engine, the protocol's 500 ms heartbeat, and half a second to restart.
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -68,6 +68,9 @@
 	if cfg.NoExecutionsKept {
 		s.recorder.limit = 0
 	}
+	if cfg.Record != nil {
+		s.recorder.out = json.NewEncoder(cfg.Record)
+	}
 	s.step.Store(int64(cfg.Step))
 	return s
 }
--- a/internal/standin/engine/state.go
+++ b/internal/standin/engine/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -193,6 +195,8 @@
 	dropped    int
 	cancels    []Cancel
 	orders     []Order
+	// out outlives the process, so that the record of a killed engine can be read.
+	out *json.Encoder
 }
 
 // Cancel is a cancellation that reached the engine.
@@ -209,6 +213,12 @@
 		return
 	}
 	r.executions = append(r.executions, e)
+	if r.out == nil {
+		return
+	}
+	if err := r.out.Encode(e); err != nil {
+		panic(fmt.Sprintf("engine stand-in: record: %v", err))
+	}
 }
 
 func (r *recorder) addCancel(c Cancel) {
--- a/internal/standin/objectapi/server.go
+++ b/internal/standin/objectapi/server.go
@@ -179,6 +179,10 @@
 			s.pause(r.Context(), time.Hour)
 			panic(http.ErrAbortHandler)
 		}
+		if f.DelayMS > 0 {
+			// Tells a test that a call waits, before it has any effect.
+			s.calls.add("delayed", r.Method, r.URL.Path)
+		}
 		s.sleep(time.Duration(f.DelayMS) * time.Millisecond)
 		next.ServeHTTP(w, r)
 	})
--- a/internal/standin/plain/server.go
+++ b/internal/standin/plain/server.go
@@ -19,6 +19,8 @@
 type Config struct {
 	// Work is the time that an execution takes.
 	Work time.Duration
+	// Record takes a JSON line for each execution before it starts, so that a killed service leaves its record.
+	Record io.Writer
 }
 
 // Execution is one call that took effect.
@@ -156,6 +158,11 @@
 	}
 	if met != refuse {
 		s.executions = append(s.executions, e)
+		if s.cfg.Record != nil {
+			if err := json.NewEncoder(s.cfg.Record).Encode(e); err != nil {
+				panic(fmt.Sprintf("plain stand-in: record: %v", err))
+			}
+		}
 	}
 	return len(s.executions), met, s.faults
 }
--- a/test/failure/calls_test.go
+++ b/test/failure/calls_test.go
@@ -156,14 +156,12 @@
 
 func (s *scene) runsByKey() (map[string]int, error) {
 	runs := map[string]int{}
-	for _, p := range s.running(s.sys.Plain) {
-		var all struct {
-			Executions []struct{ Key string }
-		}
-		if err := system.Get(s.ctx, p.Address(), "/standin/executions", &all); err != nil {
+	for _, p := range s.sys.Plain {
+		all, err := s.sys.Calls(p)
+		if err != nil {
 			return nil, err
 		}
-		for _, e := range all.Executions {
+		for _, e := range all {
 			if e.Key != "" {
 				runs[e.Key]++
 			}
--- a/test/failure/faults_test.go
+++ b/test/failure/faults_test.go
@@ -153,6 +153,17 @@
 
 // coversAll checks that some attempt ran all layers of each position exactly once.
 func coversAll(list []engine.Execution, tokens int) error {
+	whole := wholePositions(list)
+	for i := range tokens {
+		if !slices.Contains(whole, i) {
+			return fmt.Errorf("position %d ran on all layers in no attempt", i)
+		}
+	}
+	return nil
+}
+
+// wholePositions returns the positions that ran on all layers exactly once, in order, within one attempt.
+func wholePositions(list []engine.Execution) []int {
 	type key struct{ position, attempt int }
 	runs := map[key][][2]int{}
 	for _, e := range list {
@@ -161,7 +172,7 @@
 			runs[k] = append(runs[k], e.Layers)
 		}
 	}
-	whole := map[int]bool{}
+	var whole []int
 	for k, ranges := range runs {
 		slices.SortFunc(ranges, func(a, b [2]int) int { return a[0] - b[0] })
 		next := 0
@@ -172,24 +183,21 @@
 			}
 			next = r[1]
 		}
-		whole[k.position] = whole[k.position] || next == system.Layers
-	}
-	for i := range tokens {
-		if !whole[i] {
-			return fmt.Errorf("position %d ran on all layers in no attempt", i)
+		if next == system.Layers {
+			whole = append(whole, k.position)
 		}
 	}
-	return nil
+	return whole
 }
 
 func (s *scene) engineRecords() (map[string][]engine.Execution, error) {
 	out := map[string][]engine.Execution{}
-	for _, p := range s.running(s.sys.Engines) {
-		var all struct{ Executions []engine.Execution }
-		if err := system.Get(s.ctx, p.Address(), "/standin/executions", &all); err != nil {
+	for _, p := range s.sys.Engines {
+		all, err := s.sys.Runs(p)
+		if err != nil {
 			return nil, err
 		}
-		for _, e := range all.Executions {
+		for _, e := range all {
 			out[e.Stream] = append(out[e.Stream], e)
 		}
 	}
--- a/test/standin/main.go
+++ b/test/standin/main.go
@@ -66,6 +66,7 @@
 	CrashMarker   string        `long:"crash-marker" description:"text in a prompt that crashes the engine"`
 	CrashDowntime time.Duration `long:"crash-downtime" description:"time until a crashed engine is back"`
 	NoExecutions  bool          `long:"no-executions" description:"keep no record of executions"`
+	Record        string        `long:"record" description:"file that takes a JSON line for each execution"`
 }
 
 // Execute implements flags.Commander.
@@ -84,6 +85,12 @@
 		}
 		cfg.Holdings = append(cfg.Holdings, h)
 	}
+	file, err := recordFile(c.Record)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	cfg.Record = file
 	return serve(c.Listen, engine.New(cfg))
 }
 
@@ -105,12 +112,26 @@
 
 type plainCommand struct {
 	listenOptions
-	Work time.Duration `long:"work" description:"time for one execution"`
+	Work   time.Duration `long:"work" description:"time for one execution"`
+	Record string        `long:"record" description:"file that takes a JSON line for each execution"`
 }
 
 // Execute implements flags.Commander.
 func (c *plainCommand) Execute([]string) error {
-	return serve(c.Listen, plain.New(plain.Config{Work: c.Work}))
+	file, err := recordFile(c.Record)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	return serve(c.Listen, plain.New(plain.Config{Work: c.Work, Record: file}))
+}
+
+// recordFile opens the file that outlives the process; without a name it opens one that keeps nothing.
+func recordFile(name string) (*os.File, error) {
+	if name == "" {
+		name = os.DevNull
+	}
+	return os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 }
 
 func serve(address string, s server) error {
--- a/test/system/caller.go
+++ b/test/system/caller.go
@@ -30,8 +30,12 @@
 	LastEventID string
 	// Resend leaves out the word that this is the first copy.
 	Resend bool
+	// HeaderTimeout is the time after which the caller gives up a request without any answer; zero means never.
+	HeaderTimeout time.Duration
 	// OnToken is called after each token.
 	OnToken func(position int, id string)
+
+	headers func()
 }
 
 // DraftResult is what a caller saw.
@@ -44,8 +48,10 @@
 	Code      string
 	Outcome   string
 	RequestID string
-	FirstAt   time.Duration
-	Err       error
+	// RetryAfter tells whether a refusal names a time after which to try again.
+	RetryAfter bool
+	FirstAt    time.Duration
+	Err        error
 }
 
 // ExpectedText returns the text of a whole draft.
@@ -82,12 +88,21 @@
 		req.Header.Set("Last-Event-ID", cfg.LastEventID)
 	}
 	start := time.Now()
+	if cfg.HeaderTimeout > 0 {
+		giveUp := time.AfterFunc(cfg.HeaderTimeout, cancel)
+		defer giveUp.Stop()
+		cfg.headers = func() { giveUp.Stop() }
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return DraftResult{Err: err, LastID: cfg.LastEventID}
 	}
+	if cfg.headers != nil {
+		cfg.headers()
+	}
 	defer func() { _ = resp.Body.Close() }()
 	out := DraftResult{RequestID: resp.Header.Get("Request-Id"), Outcome: resp.Header.Get("Request-Outcome"), LastID: cfg.LastEventID}
+	out.RetryAfter = resp.Header.Get("Retry-After") != ""
 	if resp.StatusCode != http.StatusOK {
 		return out.refused(resp)
 	}
--- a/test/system/system.go
+++ b/test/system/system.go
@@ -142,7 +142,8 @@
 		}
 	}
 	for i := range 2 {
-		p, err := spawnStandin(s.cfg.Dir, s.cfg.Bin, fmt.Sprintf("registry-%d", i), "plain", "--work="+s.cfg.Work.String())
+		p, err := spawnStandin(s.cfg.Dir, s.cfg.Bin, fmt.Sprintf("registry-%d", i), "plain", "--work="+s.cfg.Work.String(),
+			"--record="+recordPath(s.cfg.Dir, fmt.Sprintf("registry-%d", i)))
 		if err != nil {
 			return err
 		}
@@ -167,6 +168,8 @@
 	}
 	if s.cfg.KeepNoExecutions {
 		args = append(args, "--no-executions")
+	} else {
+		args = append(args, "--record="+recordPath(s.cfg.Dir, name))
 	}
 	p, err := spawnStandin(s.cfg.Dir, s.cfg.Bin, name, args...)
 	if err != nil {
@@ -281,6 +284,23 @@
 	return nil
 }
 
+// Delete calls a control path of a stand-in with DELETE, which ends its faults.
+func Delete(ctx context.Context, address, path string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+path, nil)
+	if err != nil {
+		return eris.Wrap(err, "system.Delete")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "system.Delete")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return eris.Errorf("DELETE %s%s: %s", address, path, resp.Status)
+	}
+	return nil
+}
+
 // Get reads JSON from an address.
 func Get(ctx context.Context, address, path string, v any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
