--- a/internal/standin/plain/server.go
+++ b/internal/standin/plain/server.go
@@ -29,6 +29,8 @@
 	Method string `json:"method"`
 	Path   string `json:"path"`
 	Body   string `json:"body"`
+	// From is the address that the call came from, which tells the process that sent it.
+	From string `json:"from"`
 }
 
 // Faults are the faults in force. Counters count down as calls meet them.
@@ -173,7 +175,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	number, met, f := s.begin(Execution{
-		Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body),
+		Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body), From: r.RemoteAddr,
 	})
 	if met == refuse {
 		http.Error(w, "refused", http.StatusServiceUnavailable)
--- a/test/failure/drafts_test.go
+++ b/test/failure/drafts_test.go
@@ -1,6 +1,7 @@
 package failure
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -24,14 +25,19 @@
 		d.prompt = earlier.prompt
 	}
 	s.drafts[words[0]] = d
+	kind := o["kind"]
+	if kind == "" {
+		kind = "declaration"
+	}
 	s.send(d, h.Caller, system.DraftConfig{
-		Prompt: d.prompt, MaxTokens: d.tokens, Workspace: "exporter-a", Kind: "declaration", Key: o["key"], Resend: o["resend"] != "",
+		Prompt: d.prompt, MaxTokens: d.tokens, Workspace: "exporter-a", Kind: kind, Key: o["key"], Resend: o["resend"] != "",
 	})
 	return nil
 }
 
 func (s *scene) send(d *draft, address string, cfg system.DraftConfig) {
-	d.done = make(chan struct{})
+	ctx, leave := context.WithCancel(s.ctx)
+	d.done, d.leave = make(chan struct{}), leave
 	d.started = time.Now()
 	cfg.OnToken = func(int, string) {
 		s.mu.Lock()
@@ -39,7 +45,8 @@
 		s.mu.Unlock()
 	}
 	s.pending.Go(func() {
-		result := system.Draft(s.ctx, address, cfg)
+		defer leave()
+		result := system.Draft(ctx, address, cfg)
 		s.mu.Lock()
 		d.result = result
 		d.all = append(d.all, result.Tokens...)
--- a/test/failure/failure_test.go
+++ b/test/failure/failure_test.go
@@ -56,6 +56,24 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"system":       command((*scene).start),
+			"leave":        command((*scene).leave),
+			"never-ran":    command((*scene).neverRan),
+			"one-ran":      command((*scene).oneRan),
+			"many":         command((*scene).many),
+			"refusals":     command((*scene).refusals),
+			"load":         command((*scene).load),
+			"load-ends":    command((*scene).loadEnds),
+			"rolling":      command((*scene).rolling),
+			"apply":        command((*scene).apply),
+			"applied":      command((*scene).applied),
+			"conflict":     command((*scene).conflict),
+			"in-force":     command((*scene).inForce),
+			"snapshot":     command((*scene).snapshot),
+			"restore":      command((*scene).restore),
+			"stored":       command((*scene).stored),
+			"bad-document": command((*scene).badDocument),
+			"no-new-work":  command((*scene).noNewWork),
+			"ready":        command((*scene).ready),
 			"draft":        command((*scene).draft),
 			"resume":       command((*scene).resume),
 			"at-token":     command((*scene).atToken),
@@ -99,6 +117,10 @@
 	calls   map[string]*call
 	stops   map[string]chan error
 	pending sync.WaitGroup
+
+	changes   map[string]*change
+	snapshots map[string]int
+	loads     *load
 }
 
 type draft struct {
@@ -109,6 +131,7 @@
 	started time.Time
 	done    chan struct{}
 	all     []string
+	leave   context.CancelFunc
 }
 
 type call struct {
@@ -165,8 +188,9 @@
 	s.sys, err = system.Start(s.ctx, system.Config{
 		Bin: bin, Dir: dir, Hosts: number(o, "hosts", 3), Pipelines: number(o, "pipelines", 2),
 		Step: span(o, "step", 10*time.Millisecond), Slots: number(o, "slots", 8), Work: span(o, "work", 0),
+		Queue: number(o, "queue", 0),
 	})
-	s.stops = map[string]chan error{}
+	s.stops, s.changes, s.snapshots = map[string]chan error{}, map[string]*change{}, map[string]int{}
 	return err
 }
 
@@ -174,6 +198,9 @@
 	if s.sys == nil {
 		return
 	}
+	if s.loads != nil {
+		s.loads.stop()
+	}
 	s.sys.Close()
 	s.pending.Wait()
 	if !t.Failed() {
--- a/test/system/process.go
+++ b/test/system/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -130,9 +131,16 @@
 	}
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// lastHost numbers the loopback addresses that this process has given to hosts.
+var lastHost atomic.Uint32
+
+// freeAddress returns a port that is free on a loopback address of its own. On 127.0.0.1 a connection that any
+// process opens may take the port before the host listens there, which happened when systems start in parallel.
 func freeAddress() (string, error) {
-	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	const perByte = 250
+	pid, n := os.Getpid(), lastHost.Add(1)
+	ip := net.IPv4(127, byte(1+pid/perByte%perByte), byte(1+pid%perByte), byte(1+n%perByte))
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		return "", eris.Wrap(err, "system.freeAddress")
 	}
--- a/test/system/system.go
+++ b/test/system/system.go
@@ -58,6 +58,8 @@
 	ReadsPerSecond   int
 	// FlushMs is the claim flush interval; zero means the default.
 	FlushMs int
+	// Queue bounds the requests that wait for drafts at a host; zero means 512.
+	Queue int
 }
 
 // Host is one entry host.
@@ -335,6 +337,10 @@
 
 // Documents returns the service documents of the system at generation 0.
 func (s *System) Documents() ([]document.Document, error) {
+	queue := int64(s.cfg.Queue)
+	if queue == 0 {
+		queue = 512
+	}
 	drafts, err := document.New(document.Config{
 		Service: Drafts, Kind: document.Pipeline, Owner: "labels-team",
 		Model:     &document.Model{Name: Model, Version: Version, Layers: Layers, LayerBytes: 100_000_000, KVBytesPerToken: 65536},
@@ -343,7 +349,7 @@
 			{Name: "declaration", Priority: 0, FirstTokenMs: 2000},
 			{Name: "summary", Priority: 2, FirstTokenMs: 5000},
 		},
-		Limits: document.Limits{Queue: 512, MaxTokens: 4096, TimeoutMs: 60000},
+		Limits: document.Limits{Queue: queue, MaxTokens: 4096, TimeoutMs: 60000},
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "system.Documents")
@@ -386,14 +392,15 @@
 // waitReady waits until every host answers a lookup and a short draft.
 func (s *System) waitReady(ctx context.Context) error {
 	for _, h := range s.Hosts {
-		if err := WaitFor(ctx, startTimeout, func() error { return s.probe(ctx, h) }); err != nil {
+		if err := WaitFor(ctx, startTimeout, func() error { return s.Probe(ctx, h) }); err != nil {
 			return eris.Wrapf(err, "%s is not ready", h.ID)
 		}
 	}
 	return nil
 }
 
-func (s *System) probe(ctx context.Context, h *Host) error {
+// Probe returns an error unless a host answers a lookup and a short draft.
+func (s *System) Probe(ctx context.Context, h *Host) error {
 	answer, err := Call(ctx, h.Caller, CallConfig{Method: http.MethodGet, Service: Registry, Path: "lots/0", Workspace: "plant-b"})
 	if err != nil {
 		return err
