Close a leaving host's listeners before waiting for its requests

Cause: a rolling restart under load lost 1 of 97 streams: a caller's request met a connection that the stopping host closed. The first change, waiting longer for requests in flight to end, made it worse: callers with stale addresses kept sending, so the count never reached zero and the stop ran into its time limit. Change: a leaving host answers on for 6 s (the lifetime of an address answer and two heartbeats) and asks callers to close their connections; then the listeners close, and what is in flight is waited for. Conclusion: a request on a connection that closes at the very moment may still be lost before it is read; the caller sees no answer and may send it again.

--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -229,7 +229,7 @@
 	if err != nil {
 		return err
 	}
-	d.serve(callers, d.caller)
+	d.serve(callers, d.closing(d.caller))
 	operators, err := d.listenTLS(ctx, d.set.Operator())
 	if err != nil {
 		return err
--- a/internal/daemon/run/drain.go
+++ b/internal/daemon/run/drain.go
@@ -2,17 +2,30 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"waxwingplank/internal/core/membership"
 	"waxwingplank/internal/daemon/journal"
 )
 
 // drainCheck is how often a draining host looks at what is left.
 const drainCheck = 50 * time.Millisecond
 
-// spreadLeave lets every host hear of the leaving before this one stops answering: callers keep an
-// address answer for 5 s and hosts hear within two heartbeats.
-const spreadLeave = time.Second
+// spreadLeave is how long a leaving host goes on answering at least: hosts hear of the leaving within two
+// heartbeats, and callers may use an address answer given just before for its whole lifetime.
+const spreadLeave = membership.AddressLifetime + 2*membership.HeartbeatEvery
+
+// closing tells callers of a leaving host to open their next connection elsewhere. A request on a connection
+// that the stopping host closes at the same moment would be lost.
+func (d *Daemon) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
 
 // Drain starts a planned stop; only the first call counts.
 func (d *Daemon) Drain(cause string) {
@@ -28,31 +41,34 @@
 	d.journal.Decision("", "drain", journal.Fields{"cause": cause, "in_flight": d.inflight.total()})
 }
 
-// finishRequests waits for the requests in flight, so that a planned stop cuts off none.
+// finishRequests stops the listeners and waits for the requests in flight, so that a planned stop cuts off
+// none. Callers with stale addresses go on sending, so the wait begins only after the listeners are closed.
 func (d *Daemon) finishRequests() {
-	started := time.Now()
-	ticker := time.NewTicker(drainCheck)
-	defer ticker.Stop()
-	for range ticker.C {
-		left := d.inflight.total()
-		elapsed := time.Since(started)
-		if left == 0 && elapsed >= spreadLeave {
-			return
-		}
-		if elapsed > d.set.DrainTimeout() {
-			d.journal.Log().WithField("left", left).Error("drain timeout passed with requests in flight")
-			return
+	ctx, cancel := context.WithTimeout(context.Background(), d.set.DrainTimeout())
+	defer cancel()
+	wait(ctx, spreadLeave)
+	for _, s := range d.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			d.journal.Log().WithError(err).Error("drain timeout passed; connections of callers were cut off")
 		}
 	}
+	// Requests that peers had passed on before they heard of the leaving have no listener here.
+	for d.inflight.total() > 0 && ctx.Err() == nil {
+		wait(ctx, drainCheck)
+	}
+	if left := d.inflight.total(); left > 0 {
+		d.journal.Log().WithField("left", left).Error("drain timeout passed with requests in flight")
+	}
 }
 
-func (d *Daemon) close(stop context.CancelFunc) {
-	const graceful = 2 * time.Second
-	ctx, cancel := context.WithTimeout(context.Background(), graceful)
-	defer cancel()
-	for _, s := range d.servers {
-		_ = s.Shutdown(ctx)
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
+}
+
+func (d *Daemon) close(stop context.CancelFunc) {
 	d.peer.Close()
 	d.members.Close()
 	stop()
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"waxwingplank/test/system"
 )
@@ -183,10 +184,12 @@
 }
 
 func stop(ctx context.Context, s *system.System) error {
+	var group errgroup.Group
 	for _, h := range s.Hosts {
-		if err := h.Stop(ctx); err != nil {
-			return eris.Wrapf(err, "stop %s", h.ID)
-		}
+		group.Go(func() error { return eris.Wrapf(h.Stop(ctx), "stop %s", h.ID) })
+	}
+	if err := group.Wait(); err != nil {
+		return err
 	}
 	fmt.Println("stop: every host drained and ended")
 	return nil
