Give each pipeline one owner host and share its slots

Every host read every endpoint: 1,100 workers x 410 hosts are 451,000 pairs, and each host paired engines by itself, so one lost engine re-paired all the pipelines behind it.

The owner of a pipeline, by rendezvous over the live hosts, now polls its engines and divides its slots. Hosts report their demand to the owners once a second over the new drpc call ReportDemand and get grants, loads with their age and cache events. The owner of a service, also by rendezvous, reads the descriptions and lists the pipelines in a catalog with a generation, which the pipelines' owners pass on. Pipelines whose stages still hold their layers stay as they are; only the other engines are joined anew.

A new owner collects reports for 1.2 s before it grants, and counts what the hosts say they still hold. A host polls for itself once an owner has left reports unanswered for 2 s.

--- a/internal/core/share/ledger.go
+++ b/internal/core/share/ledger.go
@@ -88,6 +88,17 @@
 	return grants
 }
 
+// Hold records a grant that a host had from an earlier owner and may rely on until the given time, so
+// that a new owner does not give the same slots to another host.
+func (l *Ledger) Hold(host table.HostID, slots int, until time.Time) {
+	e, ok := l.held[host]
+	if !ok {
+		e = &entry{}
+		l.held[host] = e
+	}
+	e.earlier = append(e.earlier, promise{slots: slots, until: until})
+}
+
 // Confirm records that the host has applied its latest grant, which frees what it held before.
 func (l *Ledger) Confirm(host table.HostID) {
 	if e, ok := l.held[host]; ok {
--- a/internal/daemon/fleet/assemble.go
+++ b/internal/daemon/fleet/assemble.go
@@ -9,9 +9,17 @@
 	"waxwingplank/internal/core/table"
 )
 
+// engineState is what is known of one engine's part in a model.
+type engineState struct {
+	id      table.EndpointID
+	address string
+	domain  string
+	slots   int
+	layers  table.Layers
+}
+
 // assemble joins engines to pipelines: the engines of each layer range are ordered by failure domain and
 // name, and the n-th engines of all ranges form a pipeline, so that stages share a domain where they can.
-// The result depends only on the engines, so that all hosts form the same pipelines.
 func assemble(model document.Model, engines []engineState) []routing.PipelineConfig {
 	byRange := map[table.Layers][]engineState{}
 	for _, e := range engines {
@@ -31,20 +39,28 @@
 	}
 	var out []routing.PipelineConfig
 	for i := range count {
-		var stages []table.Stage
-		slots := 0
+		var route []engineState
 		for _, l := range ranges {
-			e := byRange[l][i]
-			stages = append(stages, table.NewStage(table.StageConfig{Endpoint: e.id, Address: e.address, Layers: l}))
-			if slots == 0 || e.slots < slots {
-				slots = e.slots
-			}
+			route = append(route, byRange[l][i])
 		}
-		out = append(out, routing.PipelineConfig{Pipeline: table.NewPipeline(stages), Slots: slots})
+		out = append(out, joined(route))
 	}
 	return out
 }
 
+// joined returns the pipeline over the engines; the slowest stage bounds the slots.
+func joined(route []engineState) routing.PipelineConfig {
+	var stages []table.Stage
+	slots := 0
+	for _, e := range route {
+		stages = append(stages, table.NewStage(table.StageConfig{Endpoint: e.id, Address: e.address, Layers: e.layers}))
+		if slots == 0 || e.slots < slots {
+			slots = e.slots
+		}
+	}
+	return routing.PipelineConfig{Pipeline: table.NewPipeline(stages), Slots: slots}
+}
+
 // chain returns layer ranges that cover layers 0 to n exactly once, preferring ranges with more engines.
 func chain(byRange map[table.Layers][]engineState, n int) []table.Layers {
 	var out []table.Layers
--- /dev/null
+++ b/internal/daemon/fleet/catalog.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"waxwingplank/internal/core/routing"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/peer/hostpb"
+)
+
+// catalog lists the pipelines of a service, as its owner formed them.
+type catalog struct {
+	generation uint64
+	host       table.HostID
+	plan       uint64
+	pipelines  []routing.PipelineConfig
+}
+
+// newer reports whether the catalog replaces the other. Two hosts that both take themselves for the
+// owner may write the same generation; every host then prefers the same one of them.
+func (c catalog) newer(generation uint64, host table.HostID) bool {
+	return c.generation > generation || (c.generation == generation && c.host > host)
+}
+
+// key names the content of the catalog.
+func (c catalog) key() string {
+	var b strings.Builder
+	for _, p := range c.pipelines {
+		b.WriteString(p.Pipeline.ID())
+		for _, s := range p.Pipeline.Stages() {
+			b.WriteString("," + s.Address() + "," + strconv.Itoa(s.Layers().From) + "-" + strconv.Itoa(s.Layers().To))
+		}
+		b.WriteString("/" + strconv.Itoa(p.Slots) + " ")
+	}
+	return b.String()
+}
+
+func (c catalog) wire(service table.ServiceID) *hostpb.Catalog {
+	out := &hostpb.Catalog{Service: string(service), Generation: c.generation, Host: string(c.host), Plan: c.plan}
+	for _, p := range c.pipelines {
+		w := &hostpb.CatalogPipeline{Slots: uint32(p.Slots), IntervalUs: uint32(p.Interval.Microseconds())}
+		for _, s := range p.Pipeline.Stages() {
+			w.Stages = append(w.Stages, &hostpb.CatalogStage{
+				Endpoint: string(s.Endpoint()), Address: s.Address(),
+				From: uint32(s.Layers().From), To: uint32(s.Layers().To),
+			})
+		}
+		out.Pipelines = append(out.Pipelines, w)
+	}
+	return out
+}
+
+func catalogFrom(w *hostpb.Catalog) catalog {
+	out := catalog{generation: w.GetGeneration(), host: table.HostID(w.GetHost()), plan: w.GetPlan()}
+	for _, p := range w.GetPipelines() {
+		var stages []table.Stage
+		for _, s := range p.GetStages() {
+			stages = append(stages, table.NewStage(table.StageConfig{
+				Endpoint: table.EndpointID(s.GetEndpoint()), Address: s.GetAddress(),
+				Layers: table.Layers{From: int(s.GetFrom()), To: int(s.GetTo())},
+			}))
+		}
+		if len(stages) == 0 {
+			continue
+		}
+		out.pipelines = append(out.pipelines, routing.PipelineConfig{
+			Pipeline: table.NewPipeline(stages), Slots: int(p.GetSlots()),
+			Interval: time.Duration(p.GetIntervalUs()) * time.Microsecond,
+		})
+	}
+	return out
+}
--- a/internal/daemon/fleet/doc.go
+++ b/internal/daemon/fleet/doc.go
@@ -1,4 +1,7 @@
-// Package fleet watches the endpoints of all services and tells routing what they hold and how they fare.
+// Package fleet shares the reading of endpoints and the slots of pipelines between hosts.
 //
-// It must not import ingress or peer packages or other packages of the daemon but documents and journal.
+// Each pipeline has one owner host, which polls its engines and divides its slots. Each service has one
+// owner host, which describes the engines and lists the pipelines in a catalog. All other hosts ask the
+// owners. The package must not import ingress packages or other packages of the daemon but documents and
+// journal.
 package fleet
--- a/internal/daemon/fleet/fleet.go
+++ b/internal/daemon/fleet/fleet.go
@@ -2,25 +2,34 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"strconv"
+	"slices"
 	"sync"
 	"time"
 
 	"waxwingplank/internal/core/document"
 	"waxwingplank/internal/core/routing"
+	"waxwingplank/internal/core/share"
 	"waxwingplank/internal/core/table"
 	"waxwingplank/internal/daemon/journal"
 	"waxwingplank/internal/endpoint/engine"
+	"waxwingplank/internal/peer/hostpb"
 )
 
-// Periods of reading an endpoint. Load lags by about a second at the engine, so reading it more often
-// than twice a second brings nothing; descriptions change only with orders and restarts.
 const (
-	loadEvery     = 500 * time.Millisecond
-	describeEvery = 5 * time.Second
-	// lostAfter is the number of load reads that fail in a row before an engine counts as lost: 2 s.
-	lostAfter = 4
+	// stepEvery bounds how late something due is started; it is small against the 2 s in which a silent
+	// owner or engine must be noticed.
+	stepEvery = 100 * time.Millisecond
+	// askEvery is the period of demand reports: grants last three of them.
+	askEvery = time.Second
+	// askAgain is the pause after a report that was not answered.
+	askAgain = 500 * time.Millisecond
+	// ownerSilent is how long an owner may leave reports unanswered before a host polls for itself.
+	ownerSilent = 2 * time.Second
+	// settle is how long a new owner collects reports before it grants slots: every host that sees it as
+	// the owner reports within askEvery, and names the slots that it still holds from the last owner.
+	settle = askEvery + 2*stepEvery
+	// pausedAfter is the gap between two steps after which this host may have lost its ownership meanwhile.
+	pausedAfter = 1500 * time.Millisecond
 )
 
 // Engines reads engines; engine.Client is one.
@@ -30,136 +39,229 @@
 	Events(ctx context.Context, address string, after uint64) ([]engine.CacheEvent, error)
 }
 
+// Peers calls other hosts; host.Client is one.
+type Peers interface {
+	ReportDemand(ctx context.Context, address string, in *hostpb.ReportDemandRequest) (*hostpb.ReportDemandReply, error)
+}
+
 // Config describes a Fleet.
 type Config struct {
+	Self    table.HostID
 	Engines Engines
+	Peers   Peers
+	// Live returns the live hosts, and Address the peer address of one.
+	Live    func() []table.HostID
+	Address func(table.HostID) (string, bool)
 	Journal *journal.Journal
 	// Post hands events to routing.
 	Post func(...routing.Event)
 	// OnIncarnation is told the incarnation of each engine that was read.
 	OnIncarnation func(table.EndpointID, uint64)
-	// OnCrash is told of an engine whose incarnation rose or that stopped answering.
+	// OnCrash is told of an engine whose incarnation rose.
 	OnCrash func(table.EndpointID, uint64)
 	Clock   func() time.Time
+	// Go starts a function beside the step; nil starts a goroutine. Tests and benches run it at once.
+	Go func(func())
 }
 
-// Fleet reads the endpoints of all services.
+// Fleet keeps what this host knows of the pipelines of all services.
 type Fleet struct {
-	cfg  Config
-	docs chan document.Document
+	cfg     Config
+	workers sync.WaitGroup
+
+	demandMu sync.Mutex
+	demands  map[table.ServiceID]map[demandKey]demandRow
+
+	// posting keeps the events for routing in order; it is taken before mu.
+	posting sync.Mutex
 
 	mu       sync.Mutex
 	services map[table.ServiceID]*service
-	workers  sync.WaitGroup
+	readers  map[table.EndpointID]*reader
+	askers   map[table.HostID]*asker
+	live     []table.HostID
+	stale    bool
+	stepped  time.Time
+	// incarnations holds what was last seen of each engine, by this host or an owner.
+	incarnations map[table.EndpointID]uint64
+	events       []routing.Event
+	calls        []func()
+}
+
+type demandKey struct {
+	workspace table.WorkspaceID
+	priority  int
 }
 
+type demandRow struct{ running, queued int }
+
 // New returns a fleet, which works while Run does.
 func New(cfg Config) *Fleet {
-	return &Fleet{cfg: cfg, docs: make(chan document.Document, 256), services: map[table.ServiceID]*service{}}
+	f := &Fleet{
+		cfg:          cfg,
+		demands:      map[table.ServiceID]map[demandKey]demandRow{},
+		services:     map[table.ServiceID]*service{},
+		readers:      map[table.EndpointID]*reader{},
+		askers:       map[table.HostID]*asker{},
+		incarnations: map[table.EndpointID]uint64{},
+	}
+	if f.cfg.Go == nil {
+		f.cfg.Go = func(work func()) { f.workers.Go(work) }
+	}
+	return f
 }
 
-// Adopt takes in a service document.
-func (f *Fleet) Adopt(doc document.Document) { f.docs <- doc }
-
-// Run reads endpoints until the context ends.
+// Run works until the context ends.
 func (f *Fleet) Run(ctx context.Context) {
 	defer f.workers.Wait()
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
 	for {
+		f.Step(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case doc := <-f.docs:
-			f.adopt(ctx, doc)
+		case <-ticker.C:
 		}
 	}
 }
 
-func (f *Fleet) adopt(ctx context.Context, doc document.Document) {
-	f.cfg.Post(routing.NewLimits(routing.LimitsConfig{Service: doc.Service(), Queue: int(doc.Limits().Queue)}))
-	model, isPipeline := doc.Model()
-	if !isPipeline {
-		f.cfg.Post(routing.NewPlainEndpoints(doc.Service(), plainEndpoints(doc)))
+// Demand takes in what a workspace wants of a service through this host.
+func (f *Fleet) Demand(d routing.Demand) {
+	f.SetDemand(d.Service(), d.Workspace(), d.Priority(), d.Running(), d.Queued())
+}
+
+// SetDemand is Demand in single values.
+func (f *Fleet) SetDemand(service table.ServiceID, workspace table.WorkspaceID, priority, running, queued int) {
+	f.demandMu.Lock()
+	defer f.demandMu.Unlock()
+	rows := f.demands[service]
+	if rows == nil {
+		rows = map[demandKey]demandRow{}
+		f.demands[service] = rows
+	}
+	key := demandKey{workspace, priority}
+	if running == 0 && queued == 0 {
+		delete(rows, key)
 		return
 	}
+	rows[key] = demandRow{running: running, queued: queued}
+}
+
+// Adopt takes in a service document.
+func (f *Fleet) Adopt(doc document.Document) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	old := f.services[doc.Service()]
-	svc := &service{fleet: f, id: doc.Service(), model: model, engines: map[string]*reader{}}
-	for _, address := range doc.Endpoints() {
-		if old != nil && old.engines[address] != nil {
-			svc.engines[address] = old.engines[address]
-			svc.engines[address].move(svc)
-			delete(old.engines, address)
-			continue
-		}
-		r := &reader{address: address, service: svc}
-		svc.engines[address] = r
-		rctx, cancel := context.WithCancel(ctx)
-		r.stop = cancel
-		f.workers.Add(1)
-		go func() {
-			defer f.workers.Done()
-			r.run(rctx)
-		}()
-	}
-	f.services[doc.Service()] = svc
-	if old != nil {
-		for _, r := range old.engines {
-			r.stop()
-		}
+	f.adopt(doc)
+	f.mu.Unlock()
+	f.flush()
+}
+
+func (f *Fleet) adopt(doc document.Document) {
+	f.events = append(f.events, routing.NewLimits(routing.LimitsConfig{Service: doc.Service(), Queue: int(doc.Limits().Queue)}))
+	svc := f.services[doc.Service()]
+	if svc == nil {
+		svc = newService(f, doc.Service())
+		f.services[doc.Service()] = svc
 	}
-	svc.publish()
+	svc.adopt(doc)
+	f.stale = true
 }
 
-func plainEndpoints(doc document.Document) []routing.PlainEndpointConfig {
-	// A plain service publishes no load; the bound keeps one instance from taking every call of a burst.
-	const callsAtOnce = 256
-	var out []routing.PlainEndpointConfig
-	for _, address := range doc.Endpoints() {
-		out = append(out, routing.PlainEndpointConfig{
-			Endpoint: table.EndpointID(address), Address: address, Slots: callsAtOnce,
-		})
+// Step starts what is due. Run calls it; tests and benches may instead.
+func (f *Fleet) Step(ctx context.Context) {
+	now := f.cfg.Clock()
+	live := f.cfg.Live()
+	f.mu.Lock()
+	work := f.step(ctx, now, live)
+	f.mu.Unlock()
+	f.flush()
+	for _, w := range work {
+		f.cfg.Go(w)
 	}
-	return out
 }
 
-// service is a model pipeline service and its engines.
-type service struct {
-	fleet   *Fleet
-	id      table.ServiceID
-	model   document.Model
-	engines map[string]*reader
+func (f *Fleet) step(ctx context.Context, now time.Time, live []table.HostID) []func() {
+	paused := !f.stepped.IsZero() && now.Sub(f.stepped) > pausedAfter
+	f.stepped = now
+	if paused {
+		f.disown(now)
+	}
+	if !slices.Equal(live, f.live) {
+		f.live = slices.Clone(live)
+		f.stale = true
+	}
+	var work []func()
+	for _, svc := range f.services {
+		work = append(work, svc.form(ctx, now)...)
+	}
+	if f.stale {
+		f.stale = false
+		f.assign(now)
+	}
+	work = append(work, f.poll(ctx, now)...)
+	return append(work, f.ask(ctx, now)...)
+}
 
-	mu   sync.Mutex
-	last string
+// disown makes this host wait like a new owner: while it was paused, another one may have granted slots.
+func (f *Fleet) disown(now time.Time) {
+	for _, svc := range f.services {
+		for _, u := range svc.units {
+			if u.owned() {
+				u.own(now)
+			}
+		}
+	}
 }
 
-// publish tells routing which pipelines the descriptions of the engines form.
-func (s *service) publish() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var found []engineState
-	for _, r := range s.engines {
-		if st, ok := r.state(); ok {
-			found = append(found, st)
+// assign recomputes who owns each pipeline and which ones this host uses.
+func (f *Fleet) assign(now time.Time) {
+	for _, svc := range f.services {
+		for _, u := range svc.units {
+			u.assign(now, f.live)
 		}
+		svc.choose()
+	}
+}
+
+// flush hands the collected events and calls over, without the lock that their receivers may wait for.
+func (f *Fleet) flush() {
+	f.posting.Lock()
+	defer f.posting.Unlock()
+	f.mu.Lock()
+	events, calls := f.events, f.calls
+	f.events, f.calls = nil, nil
+	f.mu.Unlock()
+	for _, call := range calls {
+		call()
 	}
-	pipelines := assemble(s.model, found)
-	key := ""
-	for _, p := range pipelines {
-		key += p.Pipeline.ID() + "/" + strconv.Itoa(p.Slots) + " "
+	if len(events) > 0 {
+		f.cfg.Post(events...)
 	}
-	if key == s.last {
+}
+
+// seen compares the incarnation of an engine with the last one.
+func (f *Fleet) seen(id table.EndpointID, incarnation uint64) {
+	old := f.incarnations[id]
+	if incarnation <= old {
 		return
 	}
-	s.last = key
-	s.fleet.cfg.Post(routing.NewPipelines(s.id, pipelines))
-	s.fleet.cfg.Journal.Decision("", "pipelines", journal.Fields{
-		"service": string(s.id), "model": s.model.Name, "pipelines": key, "engines_described": len(found),
+	f.incarnations[id] = incarnation
+	f.calls = append(f.calls, func() {
+		if old != 0 && f.cfg.OnCrash != nil {
+			f.cfg.OnCrash(id, old)
+		}
+		if f.cfg.OnIncarnation != nil {
+			f.cfg.OnIncarnation(id, incarnation)
+		}
 	})
 }
 
-// jitter spreads the reads of many hosts over the period.
-func jitter(period time.Duration) time.Duration {
-	return period*3/4 + rand.N(period/2)
+func (f *Fleet) decided(decision string, fields journal.Fields) {
+	if f.cfg.Journal == nil {
+		return
+	}
+	f.calls = append(f.calls, func() { f.cfg.Journal.Decision("", decision, fields) })
 }
+
+// lifetime is how long a grant holds.
+const lifetime = share.DefaultLifetime
--- /dev/null
+++ b/internal/daemon/fleet/owner.go
@@ -0,0 +1,106 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"waxwingplank/internal/core/routing"
+	"waxwingplank/internal/core/share"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/peer/hostpb"
+)
+
+var errUnknownHost = errors.New("fleet: the address of the owner is not known")
+
+// eventsPerReply bounds the cache events of one pipeline in a reply: 64 x 11 B, once a second.
+const eventsPerReply = 64
+
+// ReportDemand answers another host, or this one, about the pipelines that this host owns.
+func (f *Fleet) ReportDemand(_ context.Context, in *hostpb.ReportDemandRequest) (*hostpb.ReportDemandReply, error) {
+	now := f.cfg.Clock()
+	out := &hostpb.ReportDemandReply{}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range in.GetServices() {
+		svc := f.services[table.ServiceID(d.GetService())]
+		if svc == nil {
+			continue
+		}
+		if !svc.plain {
+			svc.seen = max(svc.seen, d.GetCatalog())
+			if len(d.GetDoubtful()) > 0 {
+				svc.doubt(d.GetDoubtful())
+			}
+			if svc.catalog.newer(d.GetCatalog(), table.HostID(d.GetCatalogHost())) {
+				out.Catalogs = append(out.Catalogs, svc.catalog.wire(svc.id))
+			}
+		}
+		for _, p := range d.GetPipelines() {
+			u := svc.units[p.GetPipeline()]
+			if u != nil && u.owned() {
+				out.Pipelines = append(out.Pipelines, f.reply(now, u, table.HostID(in.GetHost()), d, p))
+			}
+		}
+	}
+	return out, nil
+}
+
+func (f *Fleet) reply(now time.Time, u *unit, host table.HostID, d *hostpb.ServiceDemand, p *hostpb.PipelineUse) *hostpb.PipelineReport {
+	out := &hostpb.PipelineReport{Pipeline: u.id, Lost: u.lost}
+	rows := u.wanted(host, d)
+	slots, sequence, ok := u.report(now, host, rows, p.GetApplied(), int(p.GetHeld()), time.Duration(p.GetHeldMs())*time.Millisecond)
+	if ok {
+		out.Grant = &hostpb.Grant{Slots: uint32(slots), Sequence: sequence, LifetimeMs: uint32(lifetime.Milliseconds())}
+	}
+	for i, st := range u.pipeline.Stages() {
+		r := f.readers[st.Endpoint()]
+		if r == nil || !r.has || r.lost() {
+			continue
+		}
+		out.Loads = append(out.Loads, &hostpb.EndpointLoad{
+			Endpoint: string(r.id), Incarnation: r.load.Incarnation(), Running: uint32(r.load.Running()),
+			Queued: uint32(r.load.Queued()), Slots: uint32(r.load.Slots()), StepUs: uint32(r.load.Step().Microseconds()),
+			AgeMs: uint32(now.Sub(r.measured).Milliseconds()),
+		})
+		if i == 0 {
+			out.EventsIncarnation = r.load.Incarnation()
+			out.Events = r.after(p.GetPosition())
+		}
+	}
+	return out
+}
+
+// wanted turns the demand of a host into that for one unit: the part that the unit has of its slots.
+// A host without demand is named all the same, since unwanted slots are spread over the hosts that ask.
+func (u *unit) wanted(host table.HostID, d *hostpb.ServiceDemand) []share.Demand {
+	part := 1.0
+	if used := int(d.GetUsedSlots()); used > u.slots {
+		part = float64(u.slots) / float64(used)
+	}
+	rows := []share.Demand{share.NewDemand(share.DemandConfig{Host: host})}
+	for _, w := range d.GetDemands() {
+		id := table.WorkspaceID(w.GetWorkspace())
+		rows = append(rows, share.NewDemand(share.DemandConfig{
+			Host: host, Workspace: id, Priority: int(w.GetPriority()), Weight: u.service.weights[id],
+			Wanted: float64(w.GetRunning()+w.GetQueued()) * part,
+		}))
+	}
+	return rows
+}
+
+// after returns the kept events that follow the position of a host.
+func (r *reader) after(p *hostpb.CachePosition) []*hostpb.CacheEvent {
+	sequence := p.GetSequence()
+	if p.GetIncarnation() != r.load.Incarnation() {
+		sequence = 0
+	}
+	var out []*hostpb.CacheEvent
+	first := max(0, len(r.events)-eventsPerReply)
+	for _, e := range r.events[first:] {
+		if e.Sequence > sequence {
+			out = append(out, &hostpb.CacheEvent{Sequence: e.Sequence, Evicted: e.Kind == routing.CacheEvicted, Prefix: e.Prefix})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/fleet/service.go
@@ -0,0 +1,324 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"waxwingplank/internal/core/document"
+	"waxwingplank/internal/core/membership"
+	"waxwingplank/internal/core/routing"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/daemon/journal"
+	"waxwingplank/internal/endpoint/engine"
+)
+
+const (
+	// describeEvery is the least time between two descriptions of an engine, which change only with
+	// orders and restarts; pollers report restarts at once.
+	describeEvery = 5 * time.Second
+	// describesPerSecond bounds the descriptions that the owner of one service reads.
+	describesPerSecond = 10
+	// describeAgain is the pause after a description that failed or is in doubt.
+	describeAgain = 500 * time.Millisecond
+	// lostAfter is the number of reads, half a second apart, that fail before an engine counts as lost: 2 s.
+	lostAfter = 4
+)
+
+// service is one service on this host.
+type service struct {
+	fleet   *Fleet
+	id      table.ServiceID
+	plain   bool
+	model   document.Model
+	weights map[table.WorkspaceID]int
+	units   map[string]*unit
+	catalog catalog
+	// seen is the highest generation of a catalog that another host has named.
+	seen  uint64
+	last  string
+	owner table.HostID
+
+	// The rest is used while this host owns the service.
+	engines map[string]*described
+	since   time.Time
+	// asked is true once the host ranked second has answered, or where there is none.
+	asked bool
+	dirty bool
+}
+
+// described is one engine as the owner of its service sees it.
+type described struct {
+	address  string
+	desc     *engine.Description
+	failures int
+	next     time.Time
+	busy     bool
+}
+
+func newService(f *Fleet, id table.ServiceID) *service {
+	return &service{fleet: f, id: id, units: map[string]*unit{}, engines: map[string]*described{}}
+}
+
+func (s *service) adopt(doc document.Document) {
+	model, isPipeline := doc.Model()
+	s.plain, s.model, s.dirty = !isPipeline, model, true
+	s.weights = map[table.WorkspaceID]int{}
+	for _, w := range doc.Workspaces() {
+		s.weights[table.WorkspaceID(w.Name)] = int(w.Weight)
+	}
+	if s.plain {
+		s.setUnits(plainEndpoints(doc))
+		return
+	}
+	old := s.engines
+	s.engines = map[string]*described{}
+	for _, address := range doc.Endpoints() {
+		if s.engines[address] = old[address]; s.engines[address] == nil {
+			s.engines[address] = &described{address: address}
+		}
+	}
+}
+
+func plainEndpoints(doc document.Document) []routing.PipelineConfig {
+	// A plain service publishes no load; the bound keeps one instance from taking every call of a burst.
+	const callsAtOnce = 256
+	var out []routing.PipelineConfig
+	for _, address := range doc.Endpoints() {
+		stage := table.NewStage(table.StageConfig{Endpoint: table.EndpointID(address), Address: address})
+		out = append(out, routing.PipelineConfig{Pipeline: table.NewPipeline([]table.Stage{stage}), Slots: callsAtOnce})
+	}
+	return out
+}
+
+// setUnits replaces the units; those that stay keep their owner's and user's state.
+func (s *service) setUnits(list []routing.PipelineConfig) {
+	old := s.units
+	s.units = map[string]*unit{}
+	for _, p := range list {
+		id := p.Pipeline.ID()
+		u := old[id]
+		if u == nil {
+			u = &unit{id: id, service: s}
+		}
+		u.pipeline, u.slots, u.interval = p.Pipeline, p.Slots, p.Interval
+		s.units[id] = u
+	}
+	s.fleet.stale = true
+}
+
+// choose recomputes the units that this host uses and tells routing of those that answer.
+func (s *service) choose() {
+	all := make([]*unit, 0, len(s.units))
+	for _, u := range s.units {
+		all = append(all, u)
+	}
+	slices.SortFunc(all, func(a, b *unit) int { return strings.Compare(a.id, b.id) })
+	chosen := subset(s.fleet.cfg.Self, len(s.fleet.live), all)
+	use := map[*unit]bool{}
+	var list []routing.PipelineConfig
+	key := ""
+	for _, u := range chosen {
+		use[u] = true
+		if !u.lost {
+			list = append(list, routing.PipelineConfig{Pipeline: u.pipeline, Slots: u.slots, Interval: u.interval})
+			key += u.id + "/" + strconv.Itoa(u.slots) + " "
+		}
+	}
+	for _, u := range all {
+		if u.used != use[u] {
+			u.used, u.unanswered = use[u], time.Time{}
+		}
+	}
+	if key == s.last {
+		return
+	}
+	s.last = key
+	s.publish(list, len(all))
+}
+
+func (s *service) publish(list []routing.PipelineConfig, known int) {
+	f := s.fleet
+	if s.plain {
+		var out []routing.PlainEndpointConfig
+		for _, p := range list {
+			stage := p.Pipeline.Stages()[0]
+			out = append(out, routing.PlainEndpointConfig{Endpoint: stage.Endpoint(), Address: stage.Address(), Slots: p.Slots})
+		}
+		f.events = append(f.events, routing.NewPlainEndpoints(s.id, out))
+	} else {
+		f.events = append(f.events, routing.NewPipelines(s.id, list))
+	}
+	f.decided("pipelines", journal.Fields{
+		"service": string(s.id), "pipelines": s.last, "passed_over": known - len(list), "cause": "used_and_answering",
+		"catalog": s.catalog.generation, "plan": s.catalog.plan,
+	})
+}
+
+// ranking returns the live hosts by rank for the service; the first one owns it.
+func (s *service) ranking() []table.HostID {
+	return membership.Ranked("service/"+string(s.id), s.fleet.live)
+}
+
+func (s *service) owned() bool { return !s.plain && s.owner == s.fleet.cfg.Self && s.owner != "" }
+
+// form keeps the catalog of an owned service up to date and returns the reads that are due.
+func (s *service) form(ctx context.Context, now time.Time) []func() {
+	if s.plain {
+		return nil
+	}
+	if s.fleet.stale || s.owner == "" {
+		owner := table.HostID("")
+		if ranked := s.ranking(); len(ranked) > 0 {
+			owner = ranked[0]
+			s.asked = s.asked || len(ranked) == 1
+		}
+		if owner != s.owner {
+			s.owner, s.since, s.dirty = owner, now, true
+		}
+	}
+	if !s.owned() {
+		return nil
+	}
+	work := s.describe(ctx, now)
+	if s.catalog.generation == 0 && !s.asked && now.Sub(s.since) < ownerSilent {
+		return work
+	}
+	if s.dirty || s.seen > s.catalog.generation {
+		s.rebuild(now)
+	}
+	return work
+}
+
+// describe returns the reads of descriptions that are due.
+func (s *service) describe(ctx context.Context, now time.Time) []func() {
+	var work []func()
+	for _, e := range s.engines {
+		if e.busy || now.Before(e.next) {
+			continue
+		}
+		e.busy = true
+		work = append(work, func() {
+			desc, err := s.fleet.cfg.Engines.Describe(ctx, e.address)
+			if ctx.Err() != nil {
+				return
+			}
+			s.fleet.mu.Lock()
+			s.described(e, desc, err)
+			s.fleet.mu.Unlock()
+		})
+	}
+	return work
+}
+
+func (s *service) described(e *described, desc engine.Description, err error) {
+	now := s.fleet.cfg.Clock()
+	e.busy = false
+	if err != nil {
+		e.failures++
+		e.next = now.Add(describeAgain)
+		s.dirty = s.dirty || e.failures == lostAfter || e.desc == nil
+		if e.failures > lostAfter {
+			e.next = now.Add(describeEvery)
+		}
+		return
+	}
+	s.dirty = s.dirty || e.desc == nil || e.failures >= lostAfter || !sameDescription(*e.desc, desc)
+	e.desc, e.failures = &desc, 0
+	e.next = now.Add(max(describeEvery, time.Duration(len(s.engines))*time.Second/describesPerSecond))
+	s.fleet.seen(desc.Endpoint(), desc.Incarnation())
+}
+
+func sameDescription(a, b engine.Description) bool {
+	return a.Endpoint() == b.Endpoint() && a.Incarnation() == b.Incarnation() && a.Slots() == b.Slots() &&
+		slices.Equal(a.Holdings(), b.Holdings())
+}
+
+// doubt makes the owner of the service look at engines again that a poller reported.
+func (s *service) doubt(endpoints []string) {
+	for _, e := range s.engines {
+		if e.desc != nil && slices.Contains(endpoints, string(e.desc.Endpoint())) {
+			e.next = time.Time{}
+		}
+	}
+}
+
+// rebuild forms the catalog anew and gives it the next generation where it changed.
+func (s *service) rebuild(now time.Time) {
+	next, complete := s.pipelines()
+	if !complete && now.Sub(s.since) < ownerSilent {
+		// Engines not looked at yet might otherwise be paired in another way a moment later.
+		return
+	}
+	s.dirty = false
+	c := catalog{pipelines: next}
+	if c.key() == s.catalog.key() && s.seen <= s.catalog.generation && s.catalog.generation > 0 {
+		return
+	}
+	c.generation, c.host = max(s.seen, s.catalog.generation)+1, s.fleet.cfg.Self
+	s.fleet.decided("catalog", journal.Fields{
+		"service": string(s.id), "generation": c.generation, "pipelines": c.key(), "engines": len(s.engines),
+	})
+	s.take(c)
+}
+
+// pipelines keeps the pipelines whose stages still hold their layers and joins the other engines.
+func (s *service) pipelines() (list []routing.PipelineConfig, complete bool) {
+	byID := map[table.EndpointID]engineState{}
+	unknown := map[string]bool{}
+	for address, e := range s.engines {
+		switch {
+		case e.desc == nil && e.failures == 0:
+			unknown[address] = true
+		case e.desc != nil && e.failures < lostAfter:
+			if st, ok := e.state(s.model); ok {
+				byID[st.id] = st
+			}
+		}
+	}
+	for _, p := range s.catalog.pipelines {
+		route, kept := []engineState{}, true
+		for _, st := range p.Pipeline.Stages() {
+			e, ok := byID[st.Endpoint()]
+			kept = kept && (unknown[st.Address()] || (ok && e.layers == st.Layers() && e.address == st.Address()))
+			route = append(route, e)
+		}
+		if !kept || !p.Pipeline.Covers(int(s.model.Layers)) {
+			continue
+		}
+		for _, st := range p.Pipeline.Stages() {
+			delete(byID, st.Endpoint())
+		}
+		if !slices.ContainsFunc(route, func(e engineState) bool { return e.id == "" }) {
+			p = joined(route)
+		}
+		list = append(list, p)
+	}
+	var rest []engineState
+	for _, e := range byID {
+		rest = append(rest, e)
+	}
+	return append(list, assemble(s.model, rest)...), len(unknown) == 0
+}
+
+// state returns what the engine holds of the model, and false where it holds none of it.
+func (e *described) state(model document.Model) (engineState, bool) {
+	for _, h := range e.desc.Holdings() {
+		if h.Model() == model.Name && h.Version() == model.Version {
+			return engineState{
+				id: e.desc.Endpoint(), address: e.address, domain: e.desc.FailureDomain(),
+				slots: e.desc.Slots(), layers: h.Layers(),
+			}, true
+		}
+	}
+	return engineState{}, false
+}
+
+// take puts a catalog in force on this host.
+func (s *service) take(c catalog) {
+	s.catalog = c
+	s.seen = max(s.seen, c.generation)
+	s.setUnits(c.pipelines)
+}
--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -121,6 +121,7 @@
 func (d *Daemon) buildParts(seed uint64) error {
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Routing: routing.Config{Seed: seed}, Journal: d.journal, Clock: time.Now,
+		OnDemand: func(x routing.Demand) { d.fleet.Demand(x) },
 	})
 	d.claims = claims.New(claims.Config{
 		Store: store{client: d.objects},
@@ -137,6 +138,7 @@
 		return err
 	}
 	d.fleet = fleet.New(fleet.Config{
+		Self: d.set.Host(), Live: d.members.Live, Address: d.peerAddress, Peers: d.peers,
 		Engines: d.engine, Journal: d.journal, Post: d.dispatcher.Post, Clock: time.Now,
 		OnIncarnation: d.runner.SetIncarnation, OnCrash: d.loop.EndpointCrashed,
 	})
--- a/internal/daemon/run/peers.go
+++ b/internal/daemon/run/peers.go
@@ -29,6 +29,16 @@
 	daemon *Daemon
 }
 
+// ReportDemand answers another host about the pipelines that this host owns.
+func (p peerHandler) ReportDemand(ctx context.Context, in *hostpb.ReportDemandRequest) (*hostpb.ReportDemandReply, error) {
+	return p.daemon.fleet.ReportDemand(ctx, in)
+}
+
+func (d *Daemon) peerAddress(id table.HostID) (string, bool) {
+	peer, ok := d.members.Host(id)
+	return peer.PeerAddress, ok
+}
+
 // Forward serves a request that another host has passed on.
 func (p peerHandler) Forward(ctx context.Context, in *hostpb.ForwardRequest, sink *host.Sink) error {
 	r, err := http.NewRequestWithContext(ctx, in.GetMethod(), in.GetPath(), bytes.NewReader(in.GetBody()))
--- a/internal/peer/host/client.go
+++ b/internal/peer/host/client.go
@@ -117,6 +117,11 @@
 	return call(ctx, c, "spread marks", address, c.cfg.CallTimeout, in, hostpb.DRPCPeersClient.SpreadMarks)
 }
 
+// ReportDemand tells the owner of pipelines what this host wants of them.
+func (c *Client) ReportDemand(ctx context.Context, address string, in *hostpb.ReportDemandRequest) (*hostpb.ReportDemandReply, error) {
+	return call(ctx, c, "report demand", address, c.cfg.CallTimeout, in, hostpb.DRPCPeersClient.ReportDemand)
+}
+
 // method is a unary call of the generated client.
 type method[In, Out any] func(hostpb.DRPCPeersClient, context.Context, In) (Out, error)
 
--- a/internal/peer/host/server.go
+++ b/internal/peer/host/server.go
@@ -24,6 +24,7 @@
 	FetchDocuments(context.Context, *hostpb.FetchDocumentsRequest) (*hostpb.FetchDocumentsReply, error)
 	SpreadMarks(context.Context, *hostpb.SpreadMarksRequest) (*hostpb.SpreadMarksReply, error)
 	Forward(context.Context, *hostpb.ForwardRequest, *Sink) error
+	ReportDemand(context.Context, *hostpb.ReportDemandRequest) (*hostpb.ReportDemandReply, error)
 }
 
 // ServerConfig describes a Server.
@@ -116,6 +117,12 @@
 	return out, refused(err)
 }
 
+// ReportDemand implements the generated interface.
+func (a *adapter) ReportDemand(ctx context.Context, in *hostpb.ReportDemandRequest) (*hostpb.ReportDemandReply, error) {
+	out, err := a.handler.ReportDemand(ctx, in)
+	return out, refused(err)
+}
+
 // Forward runs the handler and sends heartbeat parts beside it until it returns.
 func (a *adapter) Forward(in *hostpb.ForwardRequest, out hostpb.DRPCPeers_ForwardStream) error {
 	ctx, cancel := context.WithCancel(out.Context())
