--- a/internal/core/claim/flush.go
+++ b/internal/core/claim/flush.go
@@ -30,7 +30,7 @@
 		s.seal(sh, kept)
 		return
 	}
-	w := &write{expected: sh.version, token: s.tokens.Uint64(), sealed: sh.sealed, answers: sh.answers}
+	w := &write{expected: sh.version, token: s.tokens.Uint64(), sealed: sh.sealed, answers: map[Hash]pendingAnswer{}}
 	w.object.segments = s.keptSegments(sh, w)
 	if sh.sealed == nil {
 		w.object.entries = kept
@@ -41,22 +41,25 @@
 	if n := len(w.object.writes); n > keptWrites {
 		w.object.writes = w.object.writes[n-keptWrites:]
 	}
-	sh.answers = map[Hash]pendingAnswer{}
 	sh.writing = w
 	sh.busy++
 	sh.flushAt = s.now.Add(s.cfg.FlushInterval)
 	s.emit(WriteShard{shard: sh.number, expected: sh.version, value: encodeObject(w.object)})
 }
 
-// seal creates a segment from the inline entries. The newest segment is replaced by one that holds
-// its entries too while it is small, so that the shard object lists few segments.
+// seal creates a segment from the inline entries. It replaces the newest segments as long as they
+// are not much larger than what is merged already, as a binary counter carries: an entry is written
+// again about log2(SegmentBytes/InlineBytes) times, and the shard object lists few segments.
 func (s *System) seal(sh *shard, kept []entry) {
-	entries, replaces := slices.Clone(kept), false
-	if n := len(sh.object.segments); n > 0 {
-		tail := sh.object.segments[n-1]
-		if int(tail.bytes) < s.cfg.SegmentBytes && tail.name(sh.number) == sh.tailName {
-			entries, replaces = merged(sh.tail, kept), true
+	entries, size, replaces := slices.Clone(kept), sizeOf(kept), 0
+	for _, ref := range slices.Backward(sh.object.segments) {
+		content, ok := sh.open[ref.name(sh.number)]
+		if n := int(ref.bytes); !ok || n+size > s.cfg.SegmentBytes || 2*n > 3*size {
+			break
 		}
+		entries = merged(content, entries)
+		size += int(ref.bytes)
+		replaces++
 	}
 	ref, value := encodeSegment(sh.version, entries)
 	sh.sealed = &sealing{ref: ref, entries: entries, replaces: replaces}
@@ -69,7 +72,7 @@
 	oldest := s.oldestKept()
 	var list []segment
 	for i, ref := range sh.object.segments {
-		replaced := w.sealed != nil && w.sealed.replaces && i == len(sh.object.segments)-1
+		replaced := w.sealed != nil && i >= len(sh.object.segments)-w.sealed.replaces
 		if replaced || ref.newest < oldest {
 			w.drops = append(w.drops, ref.name(sh.number))
 			continue
@@ -82,6 +85,10 @@
 	return list
 }
 
+// maxAnswerBytes bounds the answers of one write: with the largest inline entries and batch it stays
+// under half of the 1 MB that the object API takes, also after an outage.
+const maxAnswerBytes = 256 << 10
+
 func (s *System) applyAnswers(sh *shard, w *write) {
 	oldest := s.oldestKept()
 	position := make(map[Hash]int, len(w.object.entries))
@@ -94,8 +101,14 @@
 		hashes = append(hashes, h)
 	}
 	slices.SortFunc(hashes, func(a, b Hash) int { return slices.Compare(a[:], b[:]) })
+	total := 0
 	for _, h := range hashes {
 		a := sh.answers[h]
+		if total += (entry{state: answered, answer: a.answer}).size(); total > maxAnswerBytes {
+			break
+		}
+		w.answers[h] = a
+		delete(sh.answers, h)
 		if i, ok := position[h]; ok {
 			if w.object.entries[i].state != refused {
 				w.object.entries[i].state, w.object.entries[i].answer = answered, a.answer
@@ -145,7 +158,7 @@
 		s.goDown(sh)
 		return
 	}
-	sh.install(call.Version, o)
+	sh.install(call.Version, o, s.cfg.SegmentBytes)
 	for _, r := range sh.pending {
 		s.settleLost(sh, r)
 	}
@@ -195,13 +208,9 @@
 	if w.sealed != nil {
 		name := w.sealed.ref.name(sh.number)
 		sh.indexes[name] = newIndex(w.sealed.entries)
-		sh.tailName, sh.tail = name, w.sealed.entries
-		if int(w.sealed.ref.bytes) >= s.cfg.SegmentBytes {
-			// A segment that will not grow is not kept in memory.
-			sh.tailName, sh.tail = "", nil
-		}
+		sh.open[name] = w.sealed.entries
 	}
-	sh.install(version, w.object)
+	sh.install(version, w.object, s.cfg.SegmentBytes)
 	for _, name := range w.drops {
 		s.emit(DeleteSegment{name: name})
 	}
@@ -241,8 +250,8 @@
 		return
 	}
 	sh.indexes[name] = newIndex(entries)
-	if n := len(sh.object.segments); n > 0 && sh.object.segments[n-1].name(sh.number) == name {
-		sh.tailName, sh.tail = name, entries
+	if slices.Contains(sh.openNames(s.cfg.SegmentBytes), name) {
+		sh.open[name] = entries
 	}
 	if sh.wanted[name] {
 		sh.pages[name] = entries
--- a/internal/core/membership/contact.go
+++ b/internal/core/membership/contact.go
@@ -175,6 +175,9 @@
 	}
 	h := Heartbeat{After: c.after, RelayIncarnation: c.run, Relay: s.isRelay, Payloads: s.ownPayloads(c.acked)}
 	h.Self, _ = s.part(s.self, c.acked, true)
+	if r.rec.FailureDomain != s.cfg.Self.FailureDomain && len(s.rows) > loadsAcross {
+		h.Self.LoadPermille = -1
+	}
 	c.sent = s.log.last
 	c.pending = s.now
 	c.again = false
@@ -188,6 +191,10 @@
 // recheck probes relays of the own failure domain that stopped answering, so that one whose
 // connection failed comes back without waiting for its heartbeat.
 func (s *System) recheck() {
+	if s.now.Before(s.nextRecheck) {
+		return
+	}
+	s.nextRecheck = s.now.Add(askEvery)
 	for _, r := range s.order[s.cfg.Self.FailureDomain] {
 		id := r.rec.ID
 		if (r.life != Live && r.life != Unknown) || !s.silentContact(id) {
@@ -301,6 +308,9 @@
 	if c == nil || c.pending.IsZero() {
 		return
 	}
+	// A lost heartbeat is sent again before the next one is due: with it a loss and a pause of 0.95 s
+	// together stay below the 1.9 s after which a host counts as dead.
+	c.next = c.pending.Add(retryAfter)
 	s.ended(c)
 	c.failing = true
 	if r := s.rows[id]; r != nil && r.rec.FailureDomain != s.cfg.Self.FailureDomain {
