Add the placement of models on endpoints

Nothing decided which endpoint holds which layers: pipelines were whatever the engines happened to hold.

core/placement keeps the plan of one service.

--- /dev/null
+++ b/internal/core/placement/plan.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"waxwingplank/internal/core/table"
+)
+
+// Placed is one pipeline of a plan.
+type Placed struct {
+	pipeline table.Pipeline
+	slots    int
+	// bottleneck is the time of the slowest stage for one token; its inverse is the pipeline's rate.
+	bottleneck time.Duration
+	interval   time.Duration
+}
+
+// Pipeline returns the stages.
+func (p Placed) Pipeline() table.Pipeline { return p.pipeline }
+
+// Slots returns the number of streams that the pipeline runs at once.
+func (p Placed) Slots() int { return p.slots }
+
+// Interval returns the expected time between two tokens of one stream.
+func (p Placed) Interval() time.Duration { return p.interval }
+
+func (p Placed) rate() float64 {
+	if p.bottleneck <= 0 {
+		return 0
+	}
+	return 1 / p.bottleneck.Seconds()
+}
+
+// key names the endpoints and the layers of the pipeline.
+func (p Placed) key() string {
+	var b strings.Builder
+	for _, s := range p.pipeline.Stages() {
+		b.WriteString(string(s.Endpoint()) + "[" + strconv.Itoa(s.Layers().From) + "," + strconv.Itoa(s.Layers().To) + ")")
+	}
+	return b.String()
+}
+
+// PlanConfig describes a Plan.
+type PlanConfig struct {
+	Service    table.ServiceID
+	Generation uint64
+	Model      string
+	Version    string
+	Pipelines  []Placed
+	// Next is the version that endpoints load beside the one that serves; empty where there is none.
+	Next string
+}
+
+// Plan says which endpoints hold which layers of a service's model.
+type Plan struct{ cfg PlanConfig }
+
+// NewPlan returns a plan.
+func NewPlan(cfg PlanConfig) Plan { return Plan{cfg: cfg} }
+
+// NewPlaced returns a pipeline of a plan as it was stored.
+func NewPlaced(pipeline table.Pipeline, slots int, bottleneck, interval time.Duration) Placed {
+	return Placed{pipeline: pipeline, slots: slots, bottleneck: bottleneck, interval: interval}
+}
+
+// Service returns the service.
+func (p Plan) Service() table.ServiceID { return p.cfg.Service }
+
+// Generation returns the number of the plan; 0 means that there is none.
+func (p Plan) Generation() uint64 { return p.cfg.Generation }
+
+// Model returns the name of the model.
+func (p Plan) Model() string { return p.cfg.Model }
+
+// Version returns the version that serves.
+func (p Plan) Version() string { return p.cfg.Version }
+
+// Next returns the version that endpoints load beside the one that serves.
+func (p Plan) Next() string { return p.cfg.Next }
+
+// Pipelines returns the pipelines; callers must not change the slice.
+func (p Plan) Pipelines() []Placed { return p.cfg.Pipelines }
+
+// Rate returns the tokens a second of all pipelines together, relative to others of the same model.
+func (p Plan) Rate() float64 { return rate(p.cfg.Pipelines) }
+
+func rate(list []Placed) float64 {
+	sum := 0.0
+	for _, p := range list {
+		sum += p.rate()
+	}
+	return sum
+}
+
+func (p Plan) key() string {
+	keys := []string{p.cfg.Model, p.cfg.Version, p.cfg.Next}
+	for _, x := range p.cfg.Pipelines {
+		keys = append(keys, x.key())
+	}
+	return strings.Join(keys, " ")
+}
+
+// stageOf returns the layers of an endpoint in the plan.
+func (p Plan) stageOf(id table.EndpointID) (table.Layers, bool) {
+	for _, x := range p.cfg.Pipelines {
+		for _, s := range x.pipeline.Stages() {
+			if s.Endpoint() == id {
+				return s.Layers(), true
+			}
+		}
+	}
+	return table.Layers{}, false
+}
+
+func (p Plan) with(list []Placed) Plan {
+	p.cfg.Pipelines = slices.Clone(list)
+	return p
+}
--- a/internal/daemon/fleet/service.go
+++ b/internal/daemon/fleet/service.go
@@ -9,6 +9,7 @@
 
 	"waxwingplank/internal/core/document"
 	"waxwingplank/internal/core/membership"
+	"waxwingplank/internal/core/placement"
 	"waxwingplank/internal/core/routing"
 	"waxwingplank/internal/core/table"
 	"waxwingplank/internal/daemon/journal"
@@ -266,7 +267,7 @@
 
 // pipelines keeps the pipelines whose stages still hold their layers and joins the other engines.
 func (s *service) pipelines() (list []routing.PipelineConfig, complete bool) {
-	byID := map[table.EndpointID]engineState{}
+	byID := map[table.EndpointID]placement.Held{}
 	unknown := map[string]bool{}
 	for address, e := range s.engines {
 		switch {
@@ -274,15 +275,15 @@
 			unknown[address] = true
 		case e.desc != nil && e.failures < lostAfter:
 			if st, ok := e.state(s.model); ok {
-				byID[st.id] = st
+				byID[st.Endpoint] = st
 			}
 		}
 	}
 	for _, p := range s.catalog.pipelines {
-		route, kept := []engineState{}, true
+		route, kept := []placement.Held{}, true
 		for _, st := range p.Pipeline.Stages() {
 			e, ok := byID[st.Endpoint()]
-			kept = kept && (unknown[st.Address()] || (ok && e.layers == st.Layers() && e.address == st.Address()))
+			kept = kept && (unknown[st.Address()] || (ok && e.Layers == st.Layers() && e.Address == st.Address()))
 			route = append(route, e)
 		}
 		if !kept || !p.Pipeline.Covers(int(s.model.Layers)) {
@@ -291,12 +292,12 @@
 		for _, st := range p.Pipeline.Stages() {
 			delete(byID, st.Endpoint())
 		}
-		if !slices.ContainsFunc(route, func(e engineState) bool { return e.id == "" }) {
+		if !slices.ContainsFunc(route, func(e placement.Held) bool { return e.Endpoint == "" }) {
 			p = joined(route)
 		}
 		list = append(list, p)
 	}
-	var rest []engineState
+	var rest []placement.Held
 	for _, e := range byID {
 		rest = append(rest, e)
 	}
@@ -304,16 +305,16 @@
 }
 
 // state returns what the engine holds of the model, and false where it holds none of it.
-func (e *described) state(model document.Model) (engineState, bool) {
+func (e *described) state(model document.Model) (placement.Held, bool) {
 	for _, h := range e.desc.Holdings() {
 		if h.Model() == model.Name && h.Version() == model.Version {
-			return engineState{
-				id: e.desc.Endpoint(), address: e.address, domain: e.desc.FailureDomain(),
-				slots: e.desc.Slots(), layers: h.Layers(),
+			return placement.Held{
+				Endpoint: e.desc.Endpoint(), Address: e.address, FailureDomain: e.desc.FailureDomain(),
+				Slots: e.desc.Slots(), Layers: h.Layers(),
 			}, true
 		}
 	}
-	return engineState{}, false
+	return placement.Held{}, false
 }
 
 // take puts a catalog in force on this host.
--- a/internal/daemon/members/loopback_test.go
+++ b/internal/daemon/members/loopback_test.go
@@ -22,6 +22,10 @@
 // served puts Members behind the server's handler interface.
 type served struct{ *members.Members }
 
+func (served) ReportDemand(context.Context, *hostpb.ReportDemandRequest) (*hostpb.ReportDemandReply, error) {
+	return &hostpb.ReportDemandReply{}, nil
+}
+
 func (served) Forward(context.Context, *hostpb.ForwardRequest, *host.Sink) error {
 	return errors.New("not part of this test")
 }
--- a/internal/peer/host/host_test.go
+++ b/internal/peer/host/host_test.go
@@ -43,6 +43,10 @@
 	return &hostpb.FetchDocumentsReply{Documents: []*hostpb.Document{{Service: "s", Generation: in.GetHave()["s"] + 1}}}, nil
 }
 
+func (*handler) ReportDemand(context.Context, *hostpb.ReportDemandRequest) (*hostpb.ReportDemandReply, error) {
+	return &hostpb.ReportDemandReply{}, nil
+}
+
 func (h *handler) SpreadMarks(context.Context, *hostpb.SpreadMarksRequest) (*hostpb.SpreadMarksReply, error) {
 	return &hostpb.SpreadMarksReply{}, nil
 }
