Write plans under a lease and order engines to follow them

The placement decided plans that nobody wrote or carried out.

daemon/orders holds the lease placement/SERVICE on the owner of the service, writes plans/SERVICE on the version it read, and sends orders with the fencing number that the lease has at that moment. An order counts as met only when the engine's description says so. Loads of all services share the weight store through one object of lanes that is changed by conditional writes; no clocks of different hosts are compared.

The owner of the service puts the plan into its catalog, which the pipelines' owners pass on, so a plan costs no watch and no read by other hosts. Until a plan exists, the pipelines are those that the engines hold. While the platform is out, the last plan stays in force. Streams ask for the version that the pipelines hold, which is the old one until the new one is loaded everywhere.

--- a/internal/core/placement/decide.go
+++ b/internal/core/placement/decide.go
@@ -278,6 +278,10 @@
 	var passed []Passed
 	for i, p := range list {
 		group := s.members(p)
+		if slices.ContainsFunc(group, func(e *endpoint) bool { return !e.measured }) {
+			// Nothing that runs is moved for an estimate.
+			continue
+		}
 		for _, e := range free {
 			if e.cfg.FailureDomain == group[0].cfg.FailureDomain {
 				group = append(group, e)
--- a/internal/core/placement/plan.go
+++ b/internal/core/placement/plan.go
@@ -27,6 +27,9 @@
 // Interval returns the expected time between two tokens of one stream.
 func (p Placed) Interval() time.Duration { return p.interval }
 
+// Bottleneck returns the time of the slowest stage for one token.
+func (p Placed) Bottleneck() time.Duration { return p.bottleneck }
+
 func (p Placed) rate() float64 {
 	if p.bottleneck <= 0 {
 		return 0
--- a/internal/daemon/fleet/catalog.go
+++ b/internal/daemon/fleet/catalog.go
@@ -15,6 +15,7 @@
 	generation uint64
 	host       table.HostID
 	plan       uint64
+	version    string
 	pipelines  []routing.PipelineConfig
 }
 
@@ -27,6 +28,7 @@
 // key names the content of the catalog.
 func (c catalog) key() string {
 	var b strings.Builder
+	b.WriteString(c.version + "@" + strconv.FormatUint(c.plan, 10) + " ")
 	for _, p := range c.pipelines {
 		b.WriteString(p.Pipeline.ID())
 		for _, s := range p.Pipeline.Stages() {
@@ -38,7 +40,7 @@
 }
 
 func (c catalog) wire(service table.ServiceID) *hostpb.Catalog {
-	out := &hostpb.Catalog{Service: string(service), Generation: c.generation, Host: string(c.host), Plan: c.plan}
+	out := &hostpb.Catalog{Service: string(service), Generation: c.generation, Host: string(c.host), Plan: c.plan, Version: c.version}
 	for _, p := range c.pipelines {
 		w := &hostpb.CatalogPipeline{Slots: uint32(p.Slots), IntervalUs: uint32(p.Interval.Microseconds())}
 		for _, s := range p.Pipeline.Stages() {
@@ -53,7 +55,7 @@
 }
 
 func catalogFrom(w *hostpb.Catalog) catalog {
-	out := catalog{generation: w.GetGeneration(), host: table.HostID(w.GetHost()), plan: w.GetPlan()}
+	out := catalog{generation: w.GetGeneration(), host: table.HostID(w.GetHost()), plan: w.GetPlan(), version: w.GetVersion()}
 	for _, p := range w.GetPipelines() {
 		var stages []table.Stage
 		for _, s := range p.GetStages() {
--- a/internal/daemon/fleet/fleet.go
+++ b/internal/daemon/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"waxwingplank/internal/core/document"
+	"waxwingplank/internal/core/placement"
 	"waxwingplank/internal/core/routing"
 	"waxwingplank/internal/core/share"
 	"waxwingplank/internal/core/table"
@@ -44,6 +45,16 @@
 	ReportDemand(ctx context.Context, address string, in *hostpb.ReportDemandRequest) (*hostpb.ReportDemandReply, error)
 }
 
+// Placement places the models of services; orders.Orders is one. Its methods must not block.
+type Placement interface {
+	// Own says whether this host owns the service.
+	Own(service table.ServiceID, owned bool)
+	// Described brings an engine of an owned service as it answered.
+	Described(service table.ServiceID, address string, desc engine.Description, load engine.Load)
+	// Lost says that an engine of an owned service does not answer.
+	Lost(service table.ServiceID, address string)
+}
+
 // Config describes a Fleet.
 type Config struct {
 	Self    table.HostID
@@ -59,7 +70,9 @@
 	OnIncarnation func(table.EndpointID, uint64)
 	// OnCrash is told of an engine whose incarnation rose.
 	OnCrash func(table.EndpointID, uint64)
-	Clock   func() time.Time
+	// Placement, where set, is told what this host reads of the services that it owns.
+	Placement Placement
+	Clock     func() time.Time
 	// Go starts a function beside the step; nil starts a goroutine. Tests and benches run it at once.
 	Go func(func())
 }
@@ -167,6 +180,35 @@
 	f.stale = true
 }
 
+// SetPlan puts a plan in force on the owner of its service, which passes it on in the catalog.
+func (f *Fleet) SetPlan(p placement.Plan) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if svc := f.services[p.Service()]; svc != nil && p.Generation() > svc.plan.Generation() {
+		svc.plan, svc.dirty = p, true
+	}
+}
+
+// Look makes the owner of a service describe one of its engines now.
+func (f *Fleet) Look(service table.ServiceID, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if svc := f.services[service]; svc != nil && svc.engines[address] != nil {
+		svc.engines[address].next = time.Time{}
+	}
+}
+
+// Version returns the version of the model that the pipelines of the service hold, or an empty string
+// where they are not known.
+func (f *Fleet) Version(service table.ServiceID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if svc := f.services[service]; svc != nil {
+		return svc.catalog.version
+	}
+	return ""
+}
+
 // Step starts what is due. Run calls it; tests and benches may instead.
 func (f *Fleet) Step(ctx context.Context) {
 	now := f.cfg.Clock()
--- a/internal/daemon/fleet/service.go
+++ b/internal/daemon/fleet/service.go
@@ -37,6 +37,7 @@
 	weights map[table.WorkspaceID]int
 	units   map[string]*unit
 	catalog catalog
+	plan    placement.Plan
 	// seen is the highest generation of a catalog that another host has named.
 	seen  uint64
 	last  string
@@ -178,6 +179,7 @@
 		}
 		if owner != s.owner {
 			s.owner, s.since, s.dirty = owner, now, true
+			s.tell(func(p Placement) { p.Own(s.id, owner == s.fleet.cfg.Self) })
 		}
 	}
 	if !s.owned() {
@@ -203,18 +205,30 @@
 		e.busy = true
 		work = append(work, func() {
 			desc, err := s.fleet.cfg.Engines.Describe(ctx, e.address)
+			var load engine.Load
+			if err == nil && s.fleet.cfg.Placement != nil {
+				load, err = s.fleet.cfg.Engines.Load(ctx, e.address)
+			}
 			if ctx.Err() != nil {
 				return
 			}
 			s.fleet.mu.Lock()
-			s.described(e, desc, err)
+			s.described(e, desc, load, err)
 			s.fleet.mu.Unlock()
+			s.fleet.flush()
 		})
 	}
 	return work
 }
 
-func (s *service) described(e *described, desc engine.Description, err error) {
+// tell hands something to the placement once the lock is released.
+func (s *service) tell(call func(Placement)) {
+	if p := s.fleet.cfg.Placement; p != nil {
+		s.fleet.calls = append(s.fleet.calls, func() { call(p) })
+	}
+}
+
+func (s *service) described(e *described, desc engine.Description, load engine.Load, err error) {
 	now := s.fleet.cfg.Clock()
 	e.busy = false
 	if err != nil {
@@ -224,12 +238,16 @@
 		if e.failures > lostAfter {
 			e.next = now.Add(describeEvery)
 		}
+		if e.failures >= lostAfter {
+			s.tell(func(p Placement) { p.Lost(s.id, e.address) })
+		}
 		return
 	}
 	s.dirty = s.dirty || e.desc == nil || e.failures >= lostAfter || !sameDescription(*e.desc, desc)
 	e.desc, e.failures = &desc, 0
 	e.next = now.Add(max(describeEvery, time.Duration(len(s.engines))*time.Second/describesPerSecond))
 	s.fleet.seen(desc.Endpoint(), desc.Incarnation())
+	s.tell(func(p Placement) { p.Described(s.id, e.address, desc, load) })
 }
 
 func sameDescription(a, b engine.Description) bool {
@@ -248,13 +266,12 @@
 
 // rebuild forms the catalog anew and gives it the next generation where it changed.
 func (s *service) rebuild(now time.Time) {
-	next, complete := s.pipelines()
+	c, complete := s.next()
 	if !complete && now.Sub(s.since) < ownerSilent {
 		// Engines not looked at yet might otherwise be paired in another way a moment later.
 		return
 	}
 	s.dirty = false
-	c := catalog{pipelines: next}
 	if c.key() == s.catalog.key() && s.seen <= s.catalog.generation && s.catalog.generation > 0 {
 		return
 	}
@@ -265,47 +282,92 @@
 	s.take(c)
 }
 
-// pipelines keeps the pipelines whose stages still hold their layers and joins the other engines.
-func (s *service) pipelines() (list []routing.PipelineConfig, complete bool) {
-	byID := map[table.EndpointID]placement.Held{}
-	unknown := map[string]bool{}
+// next returns the catalog that the service should have; complete is false while engines are still unread.
+//
+// With a plan, it lists the pipelines of the plan whose stages hold their layers. Without one, it keeps
+// the pipelines of the last catalog whose stages still hold theirs, and joins the other engines. An owner
+// that could not read the plan keeps to the last catalog and joins nothing.
+func (s *service) next() (c catalog, complete bool) {
+	list := s.catalog.pipelines
+	c = catalog{version: s.model.Version}
+	switch {
+	case s.plan.Generation() > 0 && s.plan.Generation() >= s.catalog.plan:
+		c.plan, c.version, list = s.plan.Generation(), s.plan.Version(), planned(s.plan)
+	case s.catalog.plan > 0:
+		c.plan, c.version = s.catalog.plan, s.catalog.version
+	}
+	model := s.model
+	model.Version = c.version
+	known, unknown := s.held(model)
+	for _, p := range list {
+		route, ok := s.route(p, known, unknown)
+		if !ok {
+			continue
+		}
+		for _, e := range route {
+			delete(known, e.Endpoint)
+		}
+		if len(route) == len(p.Pipeline.Stages()) {
+			interval := p.Interval
+			p = joined(route)
+			p.Interval = interval
+		}
+		c.pipelines = append(c.pipelines, p)
+	}
+	if c.plan == 0 {
+		var rest []placement.Held
+		for _, e := range known {
+			rest = append(rest, e)
+		}
+		c.pipelines = append(c.pipelines, assemble(model, rest)...)
+	}
+	return c, len(unknown) == 0
+}
+
+func planned(p placement.Plan) []routing.PipelineConfig {
+	var out []routing.PipelineConfig
+	for _, x := range p.Pipelines() {
+		out = append(out, routing.PipelineConfig{Pipeline: x.Pipeline(), Slots: x.Slots(), Interval: x.Interval()})
+	}
+	return out
+}
+
+// held returns the engines that hold layers of the model, and the addresses that were not read yet.
+func (s *service) held(model document.Model) (map[table.EndpointID]held, map[string]bool) {
+	known, unknown := map[table.EndpointID]held{}, map[string]bool{}
 	for address, e := range s.engines {
 		switch {
 		case e.desc == nil && e.failures == 0:
 			unknown[address] = true
 		case e.desc != nil && e.failures < lostAfter:
-			if st, ok := e.state(s.model); ok {
-				byID[st.Endpoint] = st
+			if h, ok := e.held(model); ok {
+				known[h.Endpoint] = h
 			}
 		}
 	}
-	for _, p := range s.catalog.pipelines {
-		route, kept := []placement.Held{}, true
-		for _, st := range p.Pipeline.Stages() {
-			e, ok := byID[st.Endpoint()]
-			kept = kept && (unknown[st.Address()] || (ok && e.Layers == st.Layers() && e.Address == st.Address()))
+	return known, unknown
+}
+
+type held = placement.Held
+
+// route returns the engines of a pipeline that are known to hold their stages, and false where one does
+// not; engines not read yet are taken to hold what they did.
+func (s *service) route(p routing.PipelineConfig, known map[table.EndpointID]held, unknown map[string]bool) ([]held, bool) {
+	var route []held
+	for _, st := range p.Pipeline.Stages() {
+		e, ok := known[st.Endpoint()]
+		switch {
+		case ok && e.Layers == st.Layers() && e.Address == st.Address():
 			route = append(route, e)
+		case !unknown[st.Address()]:
+			return nil, false
 		}
-		if !kept || !p.Pipeline.Covers(int(s.model.Layers)) {
-			continue
-		}
-		for _, st := range p.Pipeline.Stages() {
-			delete(byID, st.Endpoint())
-		}
-		if !slices.ContainsFunc(route, func(e placement.Held) bool { return e.Endpoint == "" }) {
-			p = joined(route)
-		}
-		list = append(list, p)
-	}
-	var rest []placement.Held
-	for _, e := range byID {
-		rest = append(rest, e)
 	}
-	return append(list, assemble(s.model, rest)...), len(unknown) == 0
+	return route, p.Pipeline.Covers(int(s.model.Layers))
 }
 
-// state returns what the engine holds of the model, and false where it holds none of it.
-func (e *described) state(model document.Model) (placement.Held, bool) {
+// held returns what the engine holds of the model, and false where it holds none of it.
+func (e *described) held(model document.Model) (placement.Held, bool) {
 	for _, h := range e.desc.Holdings() {
 		if h.Model() == model.Name && h.Version() == model.Version {
 			return placement.Held{
--- a/internal/daemon/leases/keeper.go
+++ b/internal/daemon/leases/keeper.go
@@ -79,6 +79,11 @@
 	k.send(message{event: lease.NewHoldRequested(name), hold: name})
 }
 
+// Release gives one lease back; the orders under it must have ended before. Hold asks for it again.
+func (k *Keeper) Release(name string) {
+	k.send(message{event: lease.NewReleaseRequested(name)})
+}
+
 // Held returns the fencing number if this host may act under the lease now. The clock is read here,
 // so the answer is right even where the loop did not run for a while.
 func (k *Keeper) Held(name string) (fence int64, ok bool) {
--- /dev/null
+++ b/internal/daemon/orders/orders_test.go
@@ -0,0 +1,348 @@
+package orders_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"waxwingplank/internal/core/document"
+	"waxwingplank/internal/core/placement"
+	"waxwingplank/internal/core/storage"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/daemon/orders"
+	"waxwingplank/internal/endpoint/engine"
+)
+
+// world is the platform and the engines that the hosts of a test share.
+type world struct {
+	now     time.Time
+	version int64
+	objects map[string]object
+	// outage fails every call; lose makes the next write take effect and its answer get lost.
+	outage, lose bool
+	engines      map[string]*worker
+	loads        []load
+	layers       int64
+}
+
+type object struct {
+	value   []byte
+	version int64
+}
+
+type load struct {
+	at    time.Time
+	bytes int64
+}
+
+type worker struct {
+	id       string
+	holdings []engine.Holding
+	fence    int64
+	checks   bool
+	running  int
+	stale    int
+	fences   []int64
+}
+
+// holder is one host with its own belief about its lease.
+type holder struct {
+	w      *world
+	orders *orders.Orders
+	fence  int64
+	held   bool
+	asked  bool
+	plan   placement.Plan
+	// paused keeps orders that this host checked its lease for and did not send yet.
+	pause  bool
+	paused []func()
+}
+
+func newWorld(engines int, layers int64) *world {
+	w := &world{now: time.Unix(1_700_000_000, 0), objects: map[string]object{}, engines: map[string]*worker{}, layers: layers}
+	for i := range engines {
+		w.engines[fmt.Sprintf("10.0.0.%d:7100", i+1)] = &worker{id: fmt.Sprintf("e%d", i)}
+	}
+	return w
+}
+
+func (w *world) Get(_ context.Context, kind, name string) ([]byte, int64, error) {
+	if w.outage {
+		return nil, 0, storage.ErrUnavailable
+	}
+	o, ok := w.objects[kind+"/"+name]
+	if !ok {
+		return nil, 0, storage.ErrNotFound
+	}
+	return o.value, o.version, nil
+}
+
+func (w *world) Put(_ context.Context, kind, name string, expected int64, value []byte) (int64, error) {
+	if w.outage {
+		return 0, storage.ErrUnavailable
+	}
+	if w.objects[kind+"/"+name].version != expected {
+		return 0, storage.ErrConflict
+	}
+	w.version++
+	w.objects[kind+"/"+name] = object{value: value, version: w.version}
+	if w.lose {
+		w.lose = false
+		return 0, storage.ErrUnknown
+	}
+	return w.version, nil
+}
+
+const (
+	rate       = 1000
+	atOnce     = 2
+	layerBytes = 100
+)
+
+func (w *world) host(t *testing.T, services ...string) *holder {
+	t.Helper()
+	h := &holder{w: w}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h.orders = orders.New(orders.Config{
+		Self: table.HostID(fmt.Sprintf("%p", h)), Leases: h, Store: w, Engines: h, Log: log,
+		Clock:  func() time.Time { return w.now },
+		Limits: func(context.Context) (int64, int, error) { return rate, atOnce, nil },
+		OnPlan: func(p placement.Plan) { h.plan = p }, Look: func(table.ServiceID, string) {},
+		Go: func(work func()) { work() },
+	})
+	var addresses []string
+	for a := range w.engines {
+		addresses = append(addresses, a)
+	}
+	slices.Sort(addresses)
+	for i, s := range services {
+		part := addresses[i*len(addresses)/len(services) : (i+1)*len(addresses)/len(services)]
+		doc, err := document.New(document.Config{
+			Service: s, Generation: 1, Kind: document.Pipeline, Owner: "team",
+			Model:      &document.Model{Name: "hake", Version: "7", Layers: w.layers, LayerBytes: layerBytes, KVBytesPerToken: 1},
+			Endpoints:  part,
+			Workspaces: []document.Workspace{{Name: "a", Weight: 1}},
+			Kinds:      []document.RequestKind{{Name: "k", FirstTokenMs: 100}},
+			Limits:     document.Limits{Queue: 10, MaxTokens: 10, TimeoutMs: 20_000},
+		})
+		is.New(t).NoErr(err)
+		h.orders.Adopt(doc)
+		h.orders.Own(table.ServiceID(s), true)
+	}
+	return h
+}
+
+// Hold, Release and Held implement orders.Leases.
+func (h *holder) Hold(string) { h.asked = true }
+
+func (h *holder) Release(string) { h.asked, h.held = false, false }
+
+func (h *holder) Held(string) (int64, bool) { return h.fence, h.held }
+
+// Order implements orders.Engines.
+func (h *holder) Order(_ context.Context, address string, o engine.Order) error {
+	if h.pause {
+		h.paused = append(h.paused, func() { _ = h.w.apply(address, o) })
+		return nil
+	}
+	return h.w.apply(address, o)
+}
+
+func (w *world) apply(address string, o engine.Order) error {
+	e := w.engines[address]
+	if o.Fence < e.fence {
+		e.stale++
+		if e.checks {
+			return fmt.Errorf("old fence %d", o.Fence)
+		}
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.fences = append(e.fences, o.Fence)
+	e.holdings = slices.DeleteFunc(slices.Clone(e.holdings), func(h engine.Holding) bool { return h.Version() == o.Version })
+	if o.Kind == engine.OrderLoad {
+		e.holdings = append(e.holdings, engine.NewHolding(o.Model, o.Version, o.Layers))
+		w.loads = append(w.loads, load{at: w.now, bytes: int64(o.Layers.To-o.Layers.From) * layerBytes})
+	}
+	return nil
+}
+
+// run lets the hosts work for a while; each reads its services' engines once a second.
+func (w *world) run(d time.Duration, services map[*holder][]string) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(200 * time.Millisecond)
+		for h, list := range services {
+			for _, s := range list {
+				for a, e := range w.engines {
+					h.orders.Described(table.ServiceID(s), a, engine.NewDescription(engine.DescriptionConfig{
+						Endpoint: table.EndpointID(e.id), FailureDomain: "d", MemoryBytes: 20 * layerBytes, Incarnation: 1,
+						Slots: 4, ChecksFencing: e.checks, Holdings: e.holdings,
+					}), engine.NewLoad(engine.LoadConfig{Incarnation: 1, Running: e.running, MeasuredAt: w.now}))
+				}
+			}
+			h.orders.Step(context.Background())
+		}
+	}
+}
+
+// met reports whether the engines hold exactly what the plan says.
+func (w *world) met(p placement.Plan) bool {
+	for _, x := range p.Pipelines() {
+		for _, st := range x.Pipeline().Stages() {
+			e := w.engines[st.Address()]
+			if !slices.Equal(e.holdings, []engine.Holding{engine.NewHolding(p.Model(), p.Version(), st.Layers())}) {
+				return false
+			}
+		}
+	}
+	return p.Generation() > 0
+}
+
+func (w *world) stored(t *testing.T, service string) (generation uint64) {
+	t.Helper()
+	var p struct{ Generation uint64 }
+	is.New(t).NoErr(json.Unmarshal(w.objects[orders.PlanKind+"/"+service].value, &p))
+	return p.Generation
+}
+
+// Guards against a holder that does nothing, and against orders without the lease's fencing number.
+func TestPlacesUnderLease(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, 20)
+	h := w.host(t, "drafts")
+	w.run(5*time.Second, map[*holder][]string{h: {"drafts"}})
+	is.True(h.asked)
+	is.Equal(len(w.objects), 0) // nothing is written without the lease
+	h.held, h.fence = true, 5
+	w.run(20*time.Second, map[*holder][]string{h: {"drafts"}})
+	is.True(w.met(h.plan))
+	is.Equal(w.stored(t, "drafts"), uint64(1))
+	for _, e := range w.engines {
+		for _, f := range e.fences {
+			is.Equal(f, int64(5))
+		}
+	}
+}
+
+// Guards against orders after the lease has ended by the holder's own clock.
+func TestStopsWithoutLease(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, 20)
+	h := w.host(t, "drafts")
+	h.held, h.fence = true, 5
+	w.run(20*time.Second, map[*holder][]string{h: {"drafts"}})
+	h.held = false
+	for _, e := range w.engines {
+		e.holdings, e.fences = nil, nil
+	}
+	w.run(30*time.Second, map[*holder][]string{h: {"drafts"}})
+	for _, e := range w.engines {
+		is.Equal(len(e.fences), 0)
+	}
+	is.Equal(h.plan.Generation(), uint64(1)) // the last plan stays in force
+}
+
+// Guards against an engine that ignores fencing and is left with what an old order of a paused holder made
+// of it: the next holder reads it back and repairs it.
+func TestOldOrderOfPausedHolder(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, 20)
+	first, second := w.host(t, "drafts"), w.host(t, "drafts")
+	first.held, first.fence, first.pause = true, 5, true
+	w.run(3*time.Second, map[*holder][]string{first: {"drafts"}})
+	is.True(len(first.paused) > 0)
+	// The lease has ended and the wait is over; the first holder stands still with orders not sent.
+	first.held = false
+	// The second holder's plan has the layers the other way round.
+	delete(w.objects, orders.PlanKind+"/drafts")
+	w.engines["10.0.0.1:7100"].holdings = []engine.Holding{engine.NewHolding("hake", "7", table.Layers{From: 10, To: 20})}
+	w.engines["10.0.0.2:7100"].holdings = []engine.Holding{engine.NewHolding("hake", "7", table.Layers{From: 0, To: 10})}
+	second.held, second.fence = true, 9
+	w.run(20*time.Second, map[*holder][]string{second: {"drafts"}})
+	is.True(w.met(second.plan))
+	for _, e := range w.engines {
+		e.fence = second.fence
+	}
+	for _, send := range first.paused {
+		send()
+	}
+	stale := 0
+	for _, e := range w.engines {
+		stale += e.stale
+	}
+	is.True(stale > 0)           // an engine followed an order with an old number
+	is.True(!w.met(second.plan)) // and holds the wrong layers
+	// The lanes of the first holder's loads are dropped 14 s after the second one has seen them.
+	w.run(40*time.Second, map[*holder][]string{second: {"drafts"}})
+	is.True(w.met(second.plan))
+	is.Equal(w.stored(t, "drafts"), uint64(1)) // without another plan
+}
+
+// Guards against two holders that both write a plan: the version of the object decides.
+func TestConflictingPlans(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, 20)
+	first, second := w.host(t, "drafts"), w.host(t, "drafts")
+	first.held, first.fence = true, 5
+	w.run(20*time.Second, map[*holder][]string{first: {"drafts"}})
+	second.held, second.fence = true, 9
+	w.engines["10.0.0.3:7100"] = &worker{id: "e2"}
+	both := map[*holder][]string{first: {"drafts"}, second: {"drafts"}}
+	w.run(20*time.Second, both)
+	is.Equal(first.plan.Generation(), second.plan.Generation())
+	is.Equal(w.stored(t, "drafts"), second.plan.Generation())
+	is.True(w.met(second.plan))
+}
+
+// Guards against a plan that is lost or written twice when the platform fails during a placement.
+func TestPlatformOutageDuringPlacement(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3, 20)
+	h := w.host(t, "drafts")
+	h.held, h.fence = true, 5
+	one := map[*holder][]string{h: {"drafts"}}
+	w.lose = true
+	w.run(2*time.Second, one)
+	is.Equal(w.stored(t, "drafts"), uint64(1))
+	w.run(20*time.Second, one)
+	is.Equal(w.stored(t, "drafts"), uint64(1)) // the write with the lost answer was found, not repeated
+	is.True(w.met(h.plan))
+	before := h.plan
+	w.outage = true
+	w.engines[before.Pipelines()[0].Pipeline().Stages()[0].Address()].id = "renamed"
+	w.run(30*time.Second, one)
+	is.Equal(h.plan.Generation(), before.Generation()) // the last plan stays in force
+	w.outage = false
+	w.run(60*time.Second, one)
+	is.Equal(w.stored(t, "drafts"), before.Generation()+1)
+	is.True(w.met(h.plan))
+}
+
+// Guards against services that each keep to the weight store's limits and together exceed them.
+func TestServicesShareTheWeightStore(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(8, 14)
+	a, b := w.host(t, "drafts", "other"), w.host(t, "drafts", "other")
+	a.orders.Own("other", false)
+	b.orders.Own("drafts", false)
+	a.held, a.fence, b.held, b.fence = true, 5, true, 6
+	w.run(60*time.Second, map[*holder][]string{a: {"drafts"}, b: {"other"}})
+	is.True(w.met(a.plan))
+	is.True(w.met(b.plan))
+	is.Equal(len(w.loads), 8)
+	for i := range w.loads {
+		var sum int64
+		for _, l := range w.loads[i:] {
+			sum += l.bytes
+			allowed := w.loads[i].at.Sub(l.at).Abs().Seconds()*rate + atOnce*14*layerBytes
+			is.True(float64(sum) <= allowed)
+		}
+	}
+}
--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -29,7 +29,9 @@
 	"waxwingplank/internal/daemon/dispatch"
 	"waxwingplank/internal/daemon/fleet"
 	"waxwingplank/internal/daemon/journal"
+	"waxwingplank/internal/daemon/leases"
 	"waxwingplank/internal/daemon/members"
+	"waxwingplank/internal/daemon/orders"
 	"waxwingplank/internal/daemon/settings"
 	"waxwingplank/internal/daemon/streams"
 	"waxwingplank/internal/endpoint/engine"
@@ -71,6 +73,8 @@
 	members    *members.Members
 	dispatcher *dispatch.Dispatcher
 	fleet      *fleet.Fleet
+	leases     *leases.Keeper
+	orders     *orders.Orders
 	claims     *claims.Keeper
 	loop       *streams.Loop
 	runner     *streams.Runner
@@ -137,8 +141,10 @@
 	if err := d.buildStreams(); err != nil {
 		return err
 	}
+	d.buildPlacement()
 	d.fleet = fleet.New(fleet.Config{
-		Self: d.set.Host(), Live: d.members.Live, Address: d.peerAddress, Peers: d.peers,
+		Placement: d.orders,
+		Self:      d.set.Host(), Live: d.members.Live, Address: d.peerAddress, Peers: d.peers,
 		Engines: d.engine, Journal: d.journal, Post: d.dispatcher.Post, Clock: time.Now,
 		OnIncarnation: d.runner.SetIncarnation, OnCrash: d.loop.EndpointCrashed,
 	})
@@ -146,6 +152,7 @@
 		d.journal.Decision("", "document_adopted", journal.Fields{
 			"service": string(doc.Service()), "generation": doc.Generation(),
 		})
+		d.orders.Adopt(doc)
 		d.fleet.Adopt(doc)
 	})
 	d.caller = caller.New(caller.Config{
@@ -208,7 +215,7 @@
 	if err := d.listen(parts); err != nil {
 		return eris.Wrap(err, "run.Run")
 	}
-	for _, part := range []func(context.Context){d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.sweep} {
+	for _, part := range []func(context.Context){d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.leases.Run, d.orders.Run, d.sweep} {
 		d.tasks.Go(func() { part(parts) })
 	}
 	d.members.Start()
--- a/internal/daemon/run/drain.go
+++ b/internal/daemon/run/drain.go
@@ -53,6 +53,8 @@
 	for _, s := range d.servers {
 		_ = s.Shutdown(ctx)
 	}
+	// A lease that is not given back only runs out later, so the error changes nothing.
+	_ = d.leases.ReleaseAll(ctx)
 	d.peer.Close()
 	d.members.Close()
 	stop()
--- a/internal/daemon/run/stream.go
+++ b/internal/daemon/run/stream.go
@@ -36,7 +36,7 @@
 	out := &callerSink{sink: sink, draining: d.otherAddress}
 	err = d.runner.Run(ctx, streams.NewRequest(streams.RequestConfig{
 		Stream: table.StreamID(req.ID), Service: req.Service, Workspace: req.Workspace, Kind: req.Kind,
-		Model: model.Name, Version: model.Version, Layers: int(model.Layers), Priority: r.priority,
+		Model: model.Name, Version: d.modelVersion(req.Service, model.Version), Layers: int(model.Layers), Priority: r.priority,
 		Preamble: req.Preamble, Prompt: req.Prompt, Body: req.Body, MaxTokens: maxTokens,
 		PromptTokens:    (len(req.Preamble) + len(req.Prompt)) / bytesPerToken,
 		KVBytesPerToken: model.KVBytesPerToken, Promised: promised, Deadline: deadline,
