--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -86,12 +86,17 @@
 
 	prefix   string
 	lastID   atomic.Uint64
-	inflight atomic.Int64
+	inflight counts
 	draining atomic.Bool
 	drain    chan string
 	tasks    sync.WaitGroup
 }
 
+// counts is the number of requests in flight.
+type counts struct{ streams, calls atomic.Int64 }
+
+func (c *counts) total() int64 { return c.streams.Load() + c.calls.Load() }
+
 // New builds a daemon; Run starts it.
 func New(cfg Config) (*Daemon, error) {
 	log, err := journal.New(journal.Config{Writer: cfg.Log, Level: cfg.Settings.LogLevel(), Host: cfg.Settings.Host()})
@@ -146,12 +151,9 @@
 		Placement: d.orders,
 		Self:      d.set.Host(), Live: d.members.Live, Address: d.peerAddress, Peers: d.peers,
 		Engines: d.engine, Journal: d.journal, Post: d.dispatcher.Post, Clock: time.Now,
-		OnIncarnation: d.runner.SetIncarnation, OnCrash: d.loop.EndpointCrashed,
+		OnIncarnation: d.runner.SetIncarnation, OnCrash: d.endpointRestarted,
 	})
 	d.members.OnDocument(func(doc document.Document) {
-		d.journal.Decision("", "document_adopted", journal.Fields{
-			"service": string(doc.Service()), "generation": doc.Generation(),
-		})
 		d.orders.Adopt(doc)
 		d.fleet.Adopt(doc)
 	})
@@ -171,7 +173,7 @@
 	d.members, err = members.New(members.Config{
 		Self: membership.Host{
 			ID: d.set.Host(), Address: d.set.Caller(), PeerAddress: d.set.Peer(),
-			FailureDomain: d.set.FailureDomain(), Region: d.set.Region(),
+			FailureDomain: d.set.FailureDomain(), Region: d.set.Region(), Operator: d.set.Operator(),
 		},
 		Peers: d.peers, HostList: hosts{client: d.hostList}, Objects: objects{client: d.objects},
 		Log:     d.journal.Log(),
@@ -215,10 +217,13 @@
 	if err := d.listen(parts); err != nil {
 		return eris.Wrap(err, "run.Run")
 	}
-	for _, part := range []func(context.Context){d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.leases.Run, d.orders.Run, d.sweep} {
+	for _, part := range []func(context.Context){
+		d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.leases.Run, d.orders.Run, d.sweep, d.reportLoad,
+	} {
 		d.tasks.Go(func() { part(parts) })
 	}
 	d.members.Start()
+	d.publishMetrics()
 	d.journal.Log().WithField("caller_address", d.set.Caller()).Info("host started")
 	select {
 	case <-ctx.Done():
@@ -232,12 +237,12 @@
 }
 
 func (d *Daemon) listen(ctx context.Context) error {
-	callers, err := d.listenCallers(ctx)
+	callers, err := d.listenTLS(ctx, d.set.Caller())
 	if err != nil {
 		return err
 	}
 	d.serve(callers, d.caller)
-	operators, err := new(net.ListenConfig).Listen(ctx, "tcp", d.set.Operator())
+	operators, err := d.listenTLS(ctx, d.set.Operator())
 	if err != nil {
 		return err
 	}
@@ -301,3 +306,9 @@
 	}
 	d.dispatcher.Post(routing.NewHosts(len(live), rank))
 }
+
+// endpointRestarted only reports a restart seen by a load read. Streams are not told: those that the restart
+// broke see it on their connections, and a read comes so late that new streams run there already.
+func (d *Daemon) endpointRestarted(id table.EndpointID, incarnation uint64) {
+	d.journal.Decision("", "endpoint_restarted", journal.Fields{"endpoint": string(id), "ended_incarnation": incarnation})
+}
--- /dev/null
+++ b/test/benchfleet/bench.go
@@ -0,0 +1,242 @@
+package benchfleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/endpoint/engine"
+	"waxwingplank/internal/peer/host"
+	"waxwingplank/internal/peer/hostpb"
+	standin "waxwingplank/internal/standin/engine"
+)
+
+// Bounds of all control traffic and work of a host, from the deployment size of the design page.
+const (
+	boundBytes   = 27_000
+	boundPercent = 3.3
+)
+
+// Size is one size to measure.
+type Size struct {
+	Hosts, Workers, Services int
+}
+
+// Sizes returns the sizes to measure: those of hosts by those of workers, with the models at each.
+func Sizes() []Size {
+	var out []Size
+	for _, hosts := range []int{8, 64, 410} {
+		for _, w := range []struct{ workers, services int }{{40, 1}, {300, 3}, {1100, 10}} {
+			out = append(out, Size{Hosts: hosts, Workers: w.workers, Services: w.services})
+		}
+	}
+	return out
+}
+
+// Config describes a run.
+type Config struct {
+	Out io.Writer
+	// Seconds is the simulated time that is measured after the hosts have settled; zero means 10.
+	Seconds int
+	Sizes   []Size
+}
+
+type figure struct {
+	Name     string   `json:"name"`
+	Value    float64  `json:"value"`
+	Unit     string   `json:"unit"`
+	Bound    *float64 `json:"bound"`
+	Baseline *float64 `json:"baseline"`
+	Pass     *bool    `json:"pass"`
+}
+
+func (f figure) atMost(bound float64) figure {
+	pass := f.Value <= bound
+	f.Bound, f.Pass = &bound, &pass
+	return f
+}
+
+func (f figure) against(baseline float64) figure {
+	f.Baseline = &baseline
+	return f
+}
+
+// Run measures every size and prints its figures.
+//
+// Bytes are those of encoded messages between hosts and of the answers of engines with HTTP headers, in
+// both directions at once where a host is busiest. CPU time is that of the fleet's own work in this
+// process, and the time of one call over loopback, which is measured apart, for each message.
+func Run(cfg Config) error {
+	if cfg.Seconds == 0 {
+		cfg.Seconds = 10
+	}
+	if cfg.Sizes == nil {
+		cfg.Sizes = Sizes()
+	}
+	call, err := callCost()
+	if err != nil {
+		return err
+	}
+	read, err := readCost()
+	if err != nil {
+		return err
+	}
+	enc := json.NewEncoder(cfg.Out)
+	for _, f := range []figure{
+		{Name: "fleet_call_cpu", Value: call * 1e6, Unit: "us"}, {Name: "fleet_read_cpu", Value: read * 1e6, Unit: "us"},
+	} {
+		if err := enc.Encode(f); err != nil {
+			return eris.Wrap(err, "benchfleet.Run")
+		}
+	}
+	for _, s := range cfg.Sizes {
+		figures, err := measure(s, cfg.Seconds, call, read)
+		if err != nil {
+			return err
+		}
+		for _, f := range figures {
+			if err := enc.Encode(f); err != nil {
+				return eris.Wrap(err, "benchfleet.Run")
+			}
+		}
+	}
+	return nil
+}
+
+func measure(size Size, seconds int, call, read float64) ([]figure, error) {
+	n, err := NewNet(NetConfig{
+		Hosts: size.Hosts, Services: size.Services, Pipelines: size.Workers / size.Services / 3, EventsPerRead: 1,
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range n.Nodes {
+		for s := range size.Services {
+			for w := range 3 {
+				h.Fleet.SetDemand(Service(s), table.WorkspaceID(fmt.Sprint("workspace-", w)), w, 3, 1)
+			}
+		}
+	}
+	n.Run(8*time.Second, nil)
+	n.Count = Count{}
+	cpu := cpuTime()
+	n.Run(time.Duration(seconds)*time.Second, nil)
+	busy := cpuTime() - cpu
+	perHost := float64(size.Hosts) * float64(seconds)
+	c := n.Count
+	messages := float64(c.Reports) / perHost
+	reads := float64(c.Reads) / perHost
+	// A report counts at the host that sends it and at the one that receives it.
+	bytes := (2*float64(c.ReportBytes+c.ReplyBytes) + float64(c.ReadBytes)) / perHost
+	// A call costs its sender and its receiver; callCost measures both in one process.
+	percent := 100 * (busy.Seconds()/perHost + messages*call + reads*read)
+	// The baseline is every host that reads the load of every worker twice a second, and the events of
+	// each pipeline's first stage.
+	workers := float64(len(n.Engines))
+	baseReads := 2 * (workers + workers/3)
+	baseBytes := 2*workers*(headerBytes+loadBytes) + 2*workers/3*(headerBytes+eventsBytes+eventBytes)
+	name := func(what string) string {
+		return fmt.Sprintf("fleet_%d_hosts_%d_workers_%s", size.Hosts, size.Workers, what)
+	}
+	return []figure{
+		figure{Name: name("messages"), Value: messages + reads, Unit: "1/s"}.against(baseReads),
+		figure{Name: name("bytes"), Value: bytes, Unit: "B/s"}.atMost(boundBytes).against(baseBytes),
+		figure{Name: name("cpu"), Value: percent, Unit: "%"}.atMost(boundPercent).against(100 * baseReads * read),
+		figure{Name: name("busiest_host_bytes"), Value: n.busiest(seconds), Unit: "B/s"}.atMost(boundBytes).against(baseBytes),
+	}, nil
+}
+
+// busiest returns the bytes a second of the host with the most of them.
+func (n *Net) busiest(seconds int) float64 {
+	most := 0
+	for _, h := range n.Nodes {
+		h.bytes = 0
+	}
+	n.Run(time.Duration(seconds)*time.Second, nil)
+	for _, h := range n.Nodes {
+		most = max(most, h.bytes)
+	}
+	return float64(most) / float64(seconds)
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// costCalls is enough calls for a mean; they take less than a second.
+const costCalls = 5000
+
+// echo answers demand reports with a typical reply.
+type echo struct {
+	host.Handler
+	reply *hostpb.ReportDemandReply
+}
+
+// ReportDemand implements host.Handler.
+func (e echo) ReportDemand(context.Context, *hostpb.ReportDemandRequest) (*hostpb.ReportDemandReply, error) {
+	return e.reply, nil
+}
+
+// callCost returns the CPU time of one demand report over loopback, on both sides.
+func callCost() (float64, error) {
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, eris.Wrap(err, "benchfleet.callCost")
+	}
+	reply := &hostpb.ReportDemandReply{Pipelines: []*hostpb.PipelineReport{{
+		Pipeline: "engine-0-0+engine-0-1+engine-0-2", Grant: &hostpb.Grant{Slots: 3, Sequence: 1 << 40, LifetimeMs: 3000},
+		Loads: []*hostpb.EndpointLoad{{Endpoint: "engine-0-0"}, {Endpoint: "engine-0-1"}, {Endpoint: "engine-0-2"}},
+	}}}
+	server, err := host.NewServer(host.ServerConfig{Listener: l, Handler: echo{reply: reply}})
+	if err != nil {
+		return 0, eris.Wrap(err, "benchfleet.callCost")
+	}
+	defer server.Close()
+	client := host.NewClient(host.ClientConfig{})
+	defer client.Close()
+	in := &hostpb.ReportDemandRequest{Host: "host-000", Services: []*hostpb.ServiceDemand{{
+		Service: "drafts-0", Pipelines: []*hostpb.PipelineUse{{Pipeline: reply.GetPipelines()[0].GetPipeline()}},
+	}}}
+	return cost(func() error {
+		_, err := client.ReportDemand(context.Background(), l.Addr().String(), in)
+		return err
+	})
+}
+
+func cost(call func() error) (float64, error) {
+	runtime.GC()
+	before := cpuTime()
+	for range costCalls {
+		if err := call(); err != nil {
+			return 0, eris.Wrap(err, "benchfleet.cost")
+		}
+	}
+	return (cpuTime() - before).Seconds() / costCalls, nil
+}
+
+// readCost returns the CPU time of reading a load over loopback, the stand-in's side included.
+func readCost() (float64, error) {
+	s := standin.New(standin.Config{Endpoint: "engine-0-0", LoadLag: time.Second})
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		return 0, eris.Wrap(err, "benchfleet.readCost")
+	}
+	defer func() { _ = s.Close() }()
+	client := engine.New(engine.Config{})
+	defer client.Close()
+	return cost(func() error {
+		_, err := client.Load(context.Background(), s.Address())
+		return err
+	})
+}
--- a/test/benchfleet/net.go
+++ b/test/benchfleet/net.go
@@ -47,6 +47,7 @@
 	Order   []table.HostID
 	Count   Count
 	cfg     NetConfig
+	live    []table.HostID
 }
 
 // Count adds up what the hosts sent and received.
@@ -79,6 +80,8 @@
 	// OnPost sees every event for routing.
 	OnPost func(routing.Event)
 	net    *Net
+	// bytes counts what the host sent and received.
+	bytes int
 }
 
 // Grant is what a host may use of a pipeline.
@@ -217,6 +220,12 @@
 func (n *Net) Run(d time.Duration, check func()) {
 	for end := n.Now.Add(d); n.Now.Before(end); {
 		n.Now = n.Now.Add(Step)
+		n.live = n.live[:0:0]
+		for _, id := range n.Order {
+			if !n.Nodes[id].Down {
+				n.live = append(n.live, id)
+			}
+		}
 		for _, id := range n.Order {
 			if h := n.Nodes[id]; !h.Down && !h.Paused {
 				h.Fleet.Step(context.Background())
@@ -243,13 +252,7 @@
 	if h.View != nil {
 		return h.View
 	}
-	var out []table.HostID
-	for _, id := range h.net.Order {
-		if !h.net.Nodes[id].Down {
-			out = append(out, id)
-		}
-	}
-	return out
+	return h.net.live
 }
 
 func (h *Node) post(events ...routing.Event) {
@@ -290,6 +293,9 @@
 	c.Reports++
 	c.ReportBytes += proto.Size(in)
 	c.ReplyBytes += proto.Size(out)
+	both := proto.Size(in) + proto.Size(out)
+	h.bytes += both
+	to.bytes += both
 	return out, err
 }
 
@@ -307,7 +313,7 @@
 	if err != nil {
 		return engine.Description{}, err
 	}
-	h.net.read(describeBytes)
+	h.read(describeBytes)
 	return engine.NewDescription(engine.DescriptionConfig{
 		Endpoint: e.ID, FailureDomain: e.Domain, Incarnation: e.Incarnation, Slots: Slots,
 		Holdings: []engine.Holding{engine.NewHolding(e.Model, "7", e.Layers)},
@@ -321,7 +327,7 @@
 		return engine.Load{}, err
 	}
 	h.Reads[address]++
-	h.net.read(loadBytes)
+	h.read(loadBytes)
 	return engine.NewLoad(engine.LoadConfig{
 		Incarnation: e.Incarnation, Running: e.Running, Slots: Slots, MeasuredAt: h.net.Now.Add(-time.Second),
 		Step: 20 * time.Millisecond,
@@ -340,7 +346,7 @@
 		e.sequence++
 		out = append(out, engine.NewCacheEvent(e.sequence, engine.Stored, fmt.Sprintf("%016x", e.sequence*0x9e3779b97f4a7c15)))
 	}
-	h.net.read(eventsBytes + len(out)*eventBytes)
+	h.read(eventsBytes + len(out)*eventBytes)
 	return out, nil
 }
 
@@ -354,7 +360,8 @@
 	eventBytes    = 68
 )
 
-func (n *Net) read(bytes int) {
-	n.Count.Reads++
-	n.Count.ReadBytes += headerBytes + bytes
+func (h *Node) read(bytes int) {
+	h.net.Count.Reads++
+	h.net.Count.ReadBytes += headerBytes + bytes
+	h.bytes += headerBytes + bytes
 }
