Measure the ownership of endpoints and shorten its messages

What the reports and reads cost each host was not known. test/benchfleet runs 8, 64 and 410 hosts with 40, 300 and 1,100 workers in one process.

Property tests cover the sum of grants and layers under running streams; those on grants fail without the wait of a new owner and without its count of the slots still held (tried).

--- a/internal/core/placement/property_test.go
+++ b/internal/core/placement/property_test.go
@@ -41,6 +41,8 @@
 	// plans and orders are what the system decided.
 	plans  []placement.PlanChanged
 	orders []placement.SendOrder
+	// cut is true once an order has taken layers from running streams.
+	cut bool
 	// answers of the orders go into the next tick.
 	answers []placement.Event
 	// loads holds when each load was ordered, and its size.
@@ -57,6 +59,8 @@
 	speed   float64
 	running int
 	lost    bool
+	// changedAt is when the plan last changed the engine's layers.
+	changedAt time.Time
 	// deaf engines accept orders and do nothing.
 	deaf bool
 }
@@ -122,6 +126,7 @@
 		switch d := d.(type) {
 		case placement.PlanChanged:
 			s.plans = append(s.plans, d)
+			s.noteChanges(d.Plan())
 			s.decided(s.system.Tick(s.now, []placement.Event{placement.NewPlanWritten(d.Plan().Generation(), true)}))
 		case placement.SendOrder:
 			s.decided([]placement.Decision{d})
@@ -146,6 +151,7 @@
 		if e.cfg.Endpoint != o.Endpoint() {
 			continue
 		}
+		s.cut = s.cut || s.cuts(e, o)
 		if !e.deaf && o.Adapter() == "" {
 			e.apply(o)
 		}
@@ -188,6 +194,9 @@
 
 // check verifies what always holds: coverage, memory, one place for each endpoint, and the loads.
 func (s *sim) check(t failer) {
+	if s.cut {
+		t.Fatalf("an order took layers from running streams")
+	}
 	seen := map[table.EndpointID]bool{}
 	for _, p := range s.system.Plan().Pipelines() {
 		if !p.Pipeline().Covers(s.model.Layers) {
@@ -276,6 +285,35 @@
 	})
 }
 
+// noteChanges remembers when a plan changes what an engine must hold.
+func (s *sim) noteChanges(next placement.Plan) {
+	stages := func(p placement.Plan) map[table.EndpointID]string {
+		out := map[table.EndpointID]string{}
+		for _, x := range p.Pipelines() {
+			for _, st := range x.Pipeline().Stages() {
+				out[st.Endpoint()] = fmt.Sprint(st.Layers(), p.Version())
+			}
+		}
+		return out
+	}
+	before, after := stages(s.system.Plan()), stages(next)
+	for _, e := range s.engines {
+		if before[e.cfg.Endpoint] != after[e.cfg.Endpoint] {
+			e.changedAt = s.now
+		}
+	}
+}
+
+// cuts reports whether an order takes layers away under running streams before the longest of them is over.
+func (s *sim) cuts(e *simEngine, o placement.SendOrder) bool {
+	for _, h := range e.cfg.Holdings {
+		if h.Model == o.Model() && h.Version == o.Version() && (o.Kind() == placement.Unload || h.Layers != o.Layers()) {
+			return e.running > 0 && s.now.Sub(e.changedAt) < s.model.Lifetime
+		}
+	}
+	return false
+}
+
 // movedForLittle reports whether a pipeline whose endpoints all answer left the plan without a gain of a
 // tenth of the rate of the pipelines that its endpoints and the free ones formed.
 func (s *sim) movedForLittle(before placement.Plan) bool {
--- a/internal/daemon/fleet/ask.go
+++ b/internal/daemon/fleet/ask.go
@@ -94,14 +94,14 @@
 	defer f.demandMu.Unlock()
 	for svc, units := range services {
 		d := &hostpb.ServiceDemand{
-			Service: string(svc.id), Catalog: svc.catalog.generation, CatalogHost: string(svc.catalog.host),
+			Service: string(svc.id), Catalog: svc.catalog.generation, CatalogHost: svc.catalog.writer(),
 			Doubtful: a.doubtful[svc.id],
 		}
 		delete(a.doubtful, svc.id)
 		if len(units) > 0 {
 			for k, row := range f.demands[svc.id] {
 				d.Demands = append(d.Demands, &hostpb.WorkspaceDemand{
-					Workspace: string(k.workspace), Priority: uint32(k.priority),
+					Workspace: workspaceHash(k.workspace), Priority: uint32(k.priority),
 					Running: uint32(row.running), Queued: uint32(row.queued),
 				})
 			}
@@ -127,7 +127,7 @@
 }
 
 func (u *unit) use(now time.Time) *hostpb.PipelineUse {
-	out := &hostpb.PipelineUse{Pipeline: u.id}
+	out := &hostpb.PipelineUse{Pipeline: u.hash}
 	if u.grantOwner == u.owner {
 		out.Applied = u.applied
 	}
@@ -198,7 +198,7 @@
 	var grants []routing.GrantConfig
 	for _, w := range out.GetCatalogs() {
 		svc := f.services[table.ServiceID(w.GetService())]
-		if c := catalogFrom(w); svc != nil && !svc.plain && c.newer(svc.catalog.generation, svc.catalog.host) {
+		if c := catalogFrom(w); svc != nil && !svc.plain && c.newer(svc.catalog.generation, svc.catalog.writer()) {
 			svc.take(c)
 			svc.dirty = true
 		}
@@ -223,16 +223,16 @@
 	}
 }
 
-func (f *Fleet) asked(in *hostpb.ReportDemandRequest) map[string]*unit {
-	out := map[string]*unit{}
+func (f *Fleet) asked(in *hostpb.ReportDemandRequest) map[uint64]*unit {
+	out := map[uint64]*unit{}
 	for _, d := range in.GetServices() {
 		svc := f.services[table.ServiceID(d.GetService())]
 		if svc == nil {
 			continue
 		}
 		for _, p := range d.GetPipelines() {
-			if u := svc.units[p.GetPipeline()]; u != nil {
-				out[u.id] = u
+			if u := svc.byHash[p.GetPipeline()]; u != nil {
+				out[u.hash] = u
 			}
 		}
 	}
@@ -255,8 +255,12 @@
 }
 
 func (f *Fleet) takeLoads(now time.Time, u *unit, p *hostpb.PipelineReport) {
-	for _, l := range p.GetLoads() {
-		id := table.EndpointID(l.GetEndpoint())
+	stages := u.pipeline.Stages()
+	for i, l := range p.GetLoads() {
+		if i >= len(stages) || l.GetIncarnation() == 0 {
+			continue
+		}
+		id := stages[i].Endpoint()
 		f.seen(id, l.GetIncarnation())
 		f.events = append(f.events, routing.NewLoad(routing.LoadConfig{
 			Endpoint: id, Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()),
@@ -279,6 +283,6 @@
 		events = append(events, routing.CacheEventConfig{Sequence: e.GetSequence(), Kind: kind, Prefix: e.GetPrefix()})
 	}
 	if len(events) > 0 {
-		f.events = append(f.events, routing.NewCacheEvents(u.pipeline.Stages()[0].Endpoint(), events))
+		f.events = append(f.events, routing.NewCacheEvents(stages[0].Endpoint(), events))
 	}
 }
--- a/internal/daemon/fleet/catalog.go
+++ b/internal/daemon/fleet/catalog.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingplank/internal/core/routing"
 	"waxwingplank/internal/core/table"
 	"waxwingplank/internal/peer/hostpb"
@@ -21,8 +23,16 @@
 
 // newer reports whether the catalog replaces the other. Two hosts that both take themselves for the
 // owner may write the same generation; every host then prefers the same one of them.
-func (c catalog) newer(generation uint64, host table.HostID) bool {
-	return c.generation > generation || (c.generation == generation && c.host > host)
+func (c catalog) newer(generation uint64, writer uint32) bool {
+	return c.generation > generation || (c.generation == generation && c.writer() > writer)
+}
+
+// writer returns the hash of the host that wrote the catalog.
+func (c catalog) writer() uint32 {
+	if c.host == "" {
+		return 0
+	}
+	return uint32(xxhash.Sum64String(string(c.host)))
 }
 
 // key names the content of the catalog.
--- a/internal/daemon/fleet/owner.go
+++ b/internal/daemon/fleet/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"waxwingplank/internal/core/routing"
@@ -32,12 +33,12 @@
 			if len(d.GetDoubtful()) > 0 {
 				svc.doubt(d.GetDoubtful())
 			}
-			if svc.catalog.newer(d.GetCatalog(), table.HostID(d.GetCatalogHost())) {
+			if svc.catalog.newer(d.GetCatalog(), d.GetCatalogHost()) {
 				out.Catalogs = append(out.Catalogs, svc.catalog.wire(svc.id))
 			}
 		}
 		for _, p := range d.GetPipelines() {
-			u := svc.units[p.GetPipeline()]
+			u := svc.byHash[p.GetPipeline()]
 			if u != nil && u.owned() {
 				out.Pipelines = append(out.Pipelines, f.reply(now, u, table.HostID(in.GetHost()), d, p))
 			}
@@ -47,7 +48,7 @@
 }
 
 func (f *Fleet) reply(now time.Time, u *unit, host table.HostID, d *hostpb.ServiceDemand, p *hostpb.PipelineUse) *hostpb.PipelineReport {
-	out := &hostpb.PipelineReport{Pipeline: u.id, Lost: u.lost}
+	out := &hostpb.PipelineReport{Pipeline: u.hash, Lost: u.lost}
 	rows := u.wanted(host, d)
 	slots, sequence, ok := u.report(now, host, rows, p.GetApplied(), int(p.GetHeld()), time.Duration(p.GetHeldMs())*time.Millisecond)
 	if ok {
@@ -56,11 +57,13 @@
 	for i, st := range u.pipeline.Stages() {
 		r := f.readers[st.Endpoint()]
 		if r == nil || !r.has || r.lost() {
+			out.Loads = append(out.Loads, &hostpb.EndpointLoad{})
 			continue
 		}
+		// Routing takes the speed from its own streams, so the step is left out.
 		out.Loads = append(out.Loads, &hostpb.EndpointLoad{
-			Endpoint: string(r.id), Incarnation: r.load.Incarnation(), Running: uint32(r.load.Running()),
-			Queued: uint32(r.load.Queued()), Slots: uint32(r.load.Slots()), StepUs: uint32(r.load.Step().Microseconds()),
+			Incarnation: r.load.Incarnation(), Running: uint32(r.load.Running()),
+			Queued: uint32(r.load.Queued()), Slots: uint32(r.load.Slots()),
 			AgeMs: uint32(now.Sub(r.measured).Milliseconds()),
 		})
 		if i == 0 {
@@ -80,9 +83,9 @@
 	}
 	rows := []share.Demand{share.NewDemand(share.DemandConfig{Host: host})}
 	for _, w := range d.GetDemands() {
-		id := table.WorkspaceID(w.GetWorkspace())
+		id := table.WorkspaceID(strconv.FormatUint(uint64(w.GetWorkspace()), 36))
 		rows = append(rows, share.NewDemand(share.DemandConfig{
-			Host: host, Workspace: id, Priority: int(w.GetPriority()), Weight: u.service.weights[id],
+			Host: host, Workspace: id, Priority: int(w.GetPriority()), Weight: u.service.weights[w.GetWorkspace()],
 			Wanted: float64(w.GetRunning()+w.GetQueued()) * part,
 		}))
 	}
--- a/internal/daemon/fleet/service.go
+++ b/internal/daemon/fleet/service.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingplank/internal/core/document"
 	"waxwingplank/internal/core/membership"
 	"waxwingplank/internal/core/placement"
@@ -34,8 +36,9 @@
 	id      table.ServiceID
 	plain   bool
 	model   document.Model
-	weights map[table.WorkspaceID]int
+	weights map[uint32]int
 	units   map[string]*unit
+	byHash  map[uint64]*unit
 	catalog catalog
 	plan    placement.Plan
 	// seen is the highest generation of a catalog that another host has named.
@@ -67,9 +70,9 @@
 func (s *service) adopt(doc document.Document) {
 	model, isPipeline := doc.Model()
 	s.plain, s.model, s.dirty = !isPipeline, model, true
-	s.weights = map[table.WorkspaceID]int{}
+	s.weights = map[uint32]int{}
 	for _, w := range doc.Workspaces() {
-		s.weights[table.WorkspaceID(w.Name)] = int(w.Weight)
+		s.weights[workspaceHash(table.WorkspaceID(w.Name))] = int(w.Weight)
 	}
 	if s.plain {
 		s.setUnits(plainEndpoints(doc))
@@ -84,6 +87,8 @@
 	}
 }
 
+func workspaceHash(id table.WorkspaceID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
+
 func plainEndpoints(doc document.Document) []routing.PipelineConfig {
 	// A plain service publishes no load; the bound keeps one instance from taking every call of a burst.
 	const callsAtOnce = 256
@@ -98,15 +103,16 @@
 // setUnits replaces the units; those that stay keep their owner's and user's state.
 func (s *service) setUnits(list []routing.PipelineConfig) {
 	old := s.units
-	s.units = map[string]*unit{}
+	s.units, s.byHash = map[string]*unit{}, map[uint64]*unit{}
 	for _, p := range list {
 		id := p.Pipeline.ID()
 		u := old[id]
 		if u == nil {
-			u = &unit{id: id, service: s}
+			u = &unit{id: id, hash: xxhash.Sum64String(id), service: s}
 		}
 		u.pipeline, u.slots, u.interval = p.Pipeline, p.Slots, p.Interval
 		s.units[id] = u
+		s.byHash[u.hash] = u
 	}
 	s.fleet.stale = true
 }
--- a/internal/daemon/fleet/unit.go
+++ b/internal/daemon/fleet/unit.go
@@ -10,7 +10,9 @@
 
 // unit is one pipeline of a service, or one endpoint of a plain service.
 type unit struct {
-	id       string
+	id string
+	// hash names the unit in messages.
+	hash     uint64
 	service  *service
 	pipeline table.Pipeline
 	slots    int
--- a/test/benchfleet/bench.go
+++ b/test/benchfleet/bench.go
@@ -25,6 +25,10 @@
 	boundPercent = 3.3
 )
 
+// demandRows is the number of workspaces and classes that a host reports for each model: 11,000 requests a
+// second of 4 s over 410 hosts and 10 models are 11 requests at once, of different workspaces at worst.
+const demandRows = 11
+
 // Size is one size to measure.
 type Size struct {
 	Hosts, Workers, Services int
@@ -120,8 +124,8 @@
 	}
 	for _, h := range n.Nodes {
 		for s := range size.Services {
-			for w := range 3 {
-				h.Fleet.SetDemand(Service(s), table.WorkspaceID(fmt.Sprint("workspace-", w)), w, 3, 1)
+			for w := range demandRows {
+				h.Fleet.SetDemand(Service(s), table.WorkspaceID(fmt.Sprint("workspace-", w)), w%3, 3, 1)
 			}
 		}
 	}
@@ -143,28 +147,36 @@
 	workers := float64(len(n.Engines))
 	baseReads := 2 * (workers + workers/3)
 	baseBytes := 2*workers*(headerBytes+loadBytes) + 2*workers/3*(headerBytes+eventsBytes+eventBytes)
+	most, over := n.busiest(seconds)
 	name := func(what string) string {
 		return fmt.Sprintf("fleet_%d_hosts_%d_workers_%s", size.Hosts, size.Workers, what)
 	}
 	return []figure{
 		figure{Name: name("messages"), Value: messages + reads, Unit: "1/s"}.against(baseReads),
+		{Name: name("report_size"), Value: float64(c.ReportBytes+c.ReplyBytes) / float64(max(c.Reports, 1)), Unit: "B"},
+		{Name: name("read_bytes"), Value: float64(c.ReadBytes) / perHost, Unit: "B/s"},
 		figure{Name: name("bytes"), Value: bytes, Unit: "B/s"}.atMost(boundBytes).against(baseBytes),
 		figure{Name: name("cpu"), Value: percent, Unit: "%"}.atMost(boundPercent).against(100 * baseReads * read),
-		figure{Name: name("busiest_host_bytes"), Value: n.busiest(seconds), Unit: "B/s"}.atMost(boundBytes).against(baseBytes),
+		figure{Name: name("busiest_host_bytes"), Value: most, Unit: "B/s"}.atMost(boundBytes).against(baseBytes),
+		figure{Name: name("hosts_over_bound"), Value: 100 * over, Unit: "%"}.atMost(0),
 	}, nil
 }
 
-// busiest returns the bytes a second of the host with the most of them.
-func (n *Net) busiest(seconds int) float64 {
-	most := 0
+// busiest returns the bytes a second of the host with the most of them, and the part of the hosts that pass
+// the bound.
+func (n *Net) busiest(seconds int) (bytes, over float64) {
+	most, count := 0, 0
 	for _, h := range n.Nodes {
 		h.bytes = 0
 	}
 	n.Run(time.Duration(seconds)*time.Second, nil)
 	for _, h := range n.Nodes {
 		most = max(most, h.bytes)
+		if h.bytes > boundBytes*seconds {
+			count++
+		}
 	}
-	return float64(most) / float64(seconds)
+	return float64(most) / float64(seconds), float64(count) / float64(len(n.Nodes))
 }
 
 func cpuTime() time.Duration {
@@ -196,8 +208,8 @@
 		return 0, eris.Wrap(err, "benchfleet.callCost")
 	}
 	reply := &hostpb.ReportDemandReply{Pipelines: []*hostpb.PipelineReport{{
-		Pipeline: "engine-0-0+engine-0-1+engine-0-2", Grant: &hostpb.Grant{Slots: 3, Sequence: 1 << 40, LifetimeMs: 3000},
-		Loads: []*hostpb.EndpointLoad{{Endpoint: "engine-0-0"}, {Endpoint: "engine-0-1"}, {Endpoint: "engine-0-2"}},
+		Pipeline: 1, Grant: &hostpb.Grant{Slots: 3, Sequence: 1 << 40, LifetimeMs: 3000},
+		Loads: []*hostpb.EndpointLoad{{Incarnation: 1}, {Incarnation: 1}, {Incarnation: 1}},
 	}}}
 	server, err := host.NewServer(host.ServerConfig{Listener: l, Handler: echo{reply: reply}})
 	if err != nil {
--- a/test/benchfleet/net.go
+++ b/test/benchfleet/net.go
@@ -27,6 +27,9 @@
 // Slots is the number of streams that each engine runs at once.
 const Slots = 9
 
+// firstIncarnation is of the size that engines use, which start with the time in milliseconds.
+const firstIncarnation = 1_700_000_000_000
+
 var errDown = errors.New("benchfleet: not reachable")
 
 // NetConfig describes a Net.
@@ -127,7 +130,7 @@
 
 // AddEngine adds an engine, which hosts know once Adopt is called.
 func (n *Net) AddEngine(service int, id, domain string, layers table.Layers) *Engine {
-	e := &Engine{ID: table.EndpointID(id), Domain: domain, Model: fmt.Sprint("model-", service), Layers: layers, Incarnation: 1}
+	e := &Engine{ID: table.EndpointID(id), Domain: domain, Model: fmt.Sprint("model-", service), Layers: layers, Incarnation: firstIncarnation}
 	at := len(n.Engines)
 	e.Address = fmt.Sprintf("10.1.%d.%d:7100", at/256, at%256)
 	n.Engines[e.Address] = e
