--- a/internal/standin/plain/server.go
+++ b/internal/standin/plain/server.go
@@ -19,6 +19,8 @@
 type Config struct {
 	// Work is the time that an execution takes.
 	Work time.Duration
+	// Record takes a JSON line for each execution before it starts, so that a killed service leaves its record.
+	Record io.Writer
 }
 
 // Execution is one call that took effect.
@@ -27,6 +29,8 @@
 	Method string `json:"method"`
 	Path   string `json:"path"`
 	Body   string `json:"body"`
+	// From is the address that the call came from, which tells the process that sent it.
+	From string `json:"from"`
 }
 
 // Faults are the faults in force. Counters count down as calls meet them.
@@ -156,6 +160,11 @@
 	}
 	if met != refuse {
 		s.executions = append(s.executions, e)
+		if s.cfg.Record != nil {
+			if err := json.NewEncoder(s.cfg.Record).Encode(e); err != nil {
+				panic(fmt.Sprintf("plain stand-in: record: %v", err))
+			}
+		}
 	}
 	return len(s.executions), met, s.faults
 }
@@ -166,7 +175,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	number, met, f := s.begin(Execution{
-		Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body),
+		Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body), From: r.RemoteAddr,
 	})
 	if met == refuse {
 		http.Error(w, "refused", http.StatusServiceUnavailable)
