--- a/internal/daemon/fleet/ask.go
+++ b/internal/daemon/fleet/ask.go
@@ -150,6 +150,9 @@
 	a.busy = false
 	if err != nil {
 		a.next = f.cfg.Clock().Add(askAgain)
+		if f.lacksCatalog(in) {
+			a.next = f.cfg.Clock().Add(askSoon)
+		}
 		for _, d := range in.GetServices() {
 			id := table.ServiceID(d.GetService())
 			a.doubtful[id] = append(a.doubtful[id], d.GetDoubtful()...)
@@ -157,10 +160,27 @@
 	} else {
 		a.next = sent.Add(askEvery)
 		f.answered(host, sent, in, out)
+		if f.lacksCatalog(in) {
+			a.next = f.cfg.Clock().Add(askSoon)
+		}
 	}
+	starting := f.stale
 	f.noteSilence(host, sent, in, out)
 	f.mu.Unlock()
 	f.flush()
+	if starting {
+		f.soon()
+	}
+}
+
+// lacksCatalog reports whether this host still has no catalog of a service that it asked about.
+func (f *Fleet) lacksCatalog(in *hostpb.ReportDemandRequest) bool {
+	for _, d := range in.GetServices() {
+		if svc := f.services[table.ServiceID(d.GetService())]; svc != nil && !svc.plain && svc.catalog.generation == 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // noteSilence marks the units that the host was asked for and that its reply, if any, leaves out.
--- a/internal/daemon/fleet/fleet.go
+++ b/internal/daemon/fleet/fleet.go
@@ -24,6 +24,8 @@
 	askEvery = time.Second
 	// askAgain is the pause after a report that was not answered.
 	askAgain = 500 * time.Millisecond
+	// askSoon is the pause after a report whose answer still left this host without a catalog.
+	askSoon = 100 * time.Millisecond
 	// ownerSilent is how long an owner may leave reports unanswered before a host polls for itself.
 	ownerSilent = 2 * time.Second
 	// settle is how long a new owner collects reports before it grants slots: every host that sees it as
@@ -81,6 +83,7 @@
 type Fleet struct {
 	cfg     Config
 	workers sync.WaitGroup
+	wake    chan struct{}
 
 	demandMu sync.Mutex
 	demands  map[table.ServiceID]map[demandKey]demandRow
@@ -99,6 +102,8 @@
 	incarnations map[table.EndpointID]uint64
 	events       []routing.Event
 	calls        []func()
+	// ready are the channels to close once the events before them were posted.
+	ready []chan struct{}
 }
 
 type demandKey struct {
@@ -112,6 +117,7 @@
 func New(cfg Config) *Fleet {
 	f := &Fleet{
 		cfg:          cfg,
+		wake:         make(chan struct{}, 1),
 		demands:      map[table.ServiceID]map[demandKey]demandRow{},
 		services:     map[table.ServiceID]*service{},
 		readers:      map[table.EndpointID]*reader{},
@@ -135,10 +141,20 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-f.wake:
 		}
 	}
 }
 
+// soon makes Run step again at once: a host that has just started refuses requests until it knows the
+// pipelines, so none of the steps to that waits for the ticker.
+func (f *Fleet) soon() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Demand takes in what a workspace wants of a service through this host.
 func (f *Fleet) Demand(d routing.Demand) {
 	f.SetDemand(d.Service(), d.Workspace(), d.Priority(), d.Running(), d.Queued())
@@ -167,6 +183,7 @@
 	f.adopt(doc)
 	f.mu.Unlock()
 	f.flush()
+	f.soon()
 }
 
 func (f *Fleet) adopt(doc document.Document) {
@@ -270,8 +287,8 @@
 	f.posting.Lock()
 	defer f.posting.Unlock()
 	f.mu.Lock()
-	events, calls := f.events, f.calls
-	f.events, f.calls = nil, nil
+	events, calls, ready := f.events, f.calls, f.ready
+	f.events, f.calls, f.ready = nil, nil, nil
 	f.mu.Unlock()
 	for _, call := range calls {
 		call()
@@ -279,6 +296,32 @@
 	if len(events) > 0 {
 		f.cfg.Post(events...)
 	}
+	for _, c := range ready {
+		close(c)
+	}
+}
+
+// Await waits until routing was told the pipelines of the service for the first time. A host that has just
+// started takes some milliseconds for that; it gives up after ownerSilent, so that the request is refused.
+func (f *Fleet) Await(ctx context.Context, service table.ServiceID) {
+	f.mu.Lock()
+	svc := f.services[service]
+	f.mu.Unlock()
+	if svc == nil {
+		return
+	}
+	select {
+	case <-svc.ready:
+		return
+	default:
+	}
+	timer := time.NewTimer(ownerSilent)
+	defer timer.Stop()
+	select {
+	case <-svc.ready:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // seen compares the incarnation of an engine with the last one.
--- a/internal/daemon/fleet/service.go
+++ b/internal/daemon/fleet/service.go
@@ -42,8 +42,11 @@
 	catalog catalog
 	plan    placement.Plan
 	// seen is the highest generation of a catalog that another host has named.
-	seen  uint64
-	last  string
+	seen uint64
+	last string
+	// ready is closed once routing was told the first pipelines.
+	ready chan struct{}
+	told  bool
 	owner table.HostID
 
 	// The rest is used while this host owns the service.
@@ -64,7 +67,7 @@
 }
 
 func newService(f *Fleet, id table.ServiceID) *service {
-	return &service{fleet: f, id: id, units: map[string]*unit{}, engines: map[string]*described{}}
+	return &service{fleet: f, id: id, units: map[string]*unit{}, engines: map[string]*described{}, ready: make(chan struct{})}
 }
 
 func (s *service) adopt(doc document.Document) {
@@ -143,6 +146,10 @@
 	if key == s.last {
 		return
 	}
+	if !s.told {
+		s.told = true
+		s.fleet.ready = append(s.fleet.ready, s.ready)
+	}
 	s.last = key
 	s.publish(list, len(all))
 }
@@ -220,8 +227,12 @@
 			}
 			s.fleet.mu.Lock()
 			s.described(e, desc, load, err)
+			changed := s.dirty
 			s.fleet.mu.Unlock()
 			s.fleet.flush()
+			if changed {
+				s.fleet.soon()
+			}
 		})
 	}
 	return work
