--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"waxwingplank/internal/core/claim"
+	"waxwingplank/internal/core/document"
 	"waxwingplank/internal/core/membership"
 	"waxwingplank/internal/core/quarantine"
 	"waxwingplank/internal/core/routing"
@@ -28,7 +29,9 @@
 	"waxwingplank/internal/daemon/dispatch"
 	"waxwingplank/internal/daemon/fleet"
 	"waxwingplank/internal/daemon/journal"
+	"waxwingplank/internal/daemon/leases"
 	"waxwingplank/internal/daemon/members"
+	"waxwingplank/internal/daemon/orders"
 	"waxwingplank/internal/daemon/settings"
 	"waxwingplank/internal/daemon/streams"
 	"waxwingplank/internal/endpoint/engine"
@@ -72,6 +75,8 @@
 	members    *members.Members
 	dispatcher *dispatch.Dispatcher
 	fleet      *fleet.Fleet
+	leases     *leases.Keeper
+	orders     *orders.Orders
 	claims     *claims.Keeper
 	loop       *streams.Loop
 	runner     *streams.Runner
@@ -127,6 +132,7 @@
 func (d *Daemon) buildParts(seed uint64) error {
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Routing: routing.Config{Seed: seed}, Journal: d.journal, Clock: time.Now,
+		OnDemand: func(x routing.Demand) { d.fleet.Demand(x) },
 	})
 	d.claims = claims.New(claims.Config{
 		Store: store{client: d.objects},
@@ -142,11 +148,17 @@
 	if err := d.buildStreams(); err != nil {
 		return err
 	}
+	d.buildPlacement()
 	d.fleet = fleet.New(fleet.Config{
+		Placement: d.orders,
+		Self:      d.set.Host(), Live: d.members.Live, Address: d.peerAddress, Peers: d.peers,
 		Engines: d.engine, Journal: d.journal, Post: d.dispatcher.Post, Clock: time.Now,
 		OnIncarnation: d.runner.SetIncarnation, OnCrash: d.endpointRestarted,
 	})
-	d.members.OnDocument(d.fleet.Adopt)
+	d.members.OnDocument(func(doc document.Document) {
+		d.orders.Adopt(doc)
+		d.fleet.Adopt(doc)
+	})
 	d.caller = caller.New(caller.Config{
 		Backend: d, BodyBytes: d.set.BodyBytes(), BodyTimeout: bodyTimeout, Streams: d.set.Streams(), RequestLifetime: d.set.MaxRequest(),
 		HeartbeatEvery: callerHeartbeat, NewRequestID: d.newRequestID,
@@ -207,7 +219,9 @@
 	if err := d.listen(parts); err != nil {
 		return eris.Wrap(err, "run.Run")
 	}
-	for _, part := range []func(context.Context){d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.sweep, d.reportLoad} {
+	for _, part := range []func(context.Context){
+		d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.leases.Run, d.orders.Run, d.sweep, d.reportLoad,
+	} {
 		d.tasks.Go(func() { part(parts) })
 	}
 	d.members.Start()
--- a/internal/daemon/run/drain.go
+++ b/internal/daemon/run/drain.go
@@ -12,6 +12,9 @@
 // drainCheck is how often a draining host looks at what is left.
 const drainCheck = 50 * time.Millisecond
 
+// releaseTimeout bounds the giving back of leases where the platform does not answer.
+const releaseTimeout = 2 * time.Second
+
 // spreadLeave is how long a leaving host goes on answering at least: hosts hear of the leaving within two
 // heartbeats, and callers may use an address answer given just before for its whole lifetime.
 const spreadLeave = membership.AddressLifetime + 2*membership.HeartbeatEvery
@@ -69,6 +72,10 @@
 }
 
 func (d *Daemon) close(stop context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	// A lease that is not given back only runs out later, so the error changes nothing.
+	_ = d.leases.ReleaseAll(ctx)
 	d.peer.Close()
 	d.members.Close()
 	stop()
