--- a/internal/daemon/journal/journal.go
+++ b/internal/daemon/journal/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,65 @@
 // for its whole lifetime cannot grow without limit.
 const linesPerRequest = 32
 
+// The fields that tie a line to a request; a stream has the identifier of the request that opened it.
+const (
+	requestField  = "request"
+	streamField   = "stream"
+	decisionField = "decision"
+)
+
+// hook remembers the lines of each request that are no decisions, whichever part of the daemon wrote them.
+type hook struct{ journal *Journal }
+
+// Levels implements logrus.Hook.
+func (hook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h hook) Fire(entry *logrus.Entry) error {
+	if _, decision := entry.Data[decisionField]; decision {
+		// A decision was remembered when it was recorded.
+		return nil
+	}
+	id := textOf(entry.Data[requestField])
+	if id == "" {
+		id = textOf(entry.Data[streamField])
+	}
+	if id == "" {
+		return nil
+	}
+	h.journal.remember(id, Line{Time: entry.Time, Decision: entry.Message, Fields: readable(entry.Data)})
+	return nil
+}
+
+// readable returns the fields that an explanation shows.
+func readable(data Fields) Fields {
+	fields := Fields{}
+	for name, value := range data {
+		if name == "host" || name == requestField || name == decisionField {
+			continue
+		}
+		if err, ok := value.(error); ok {
+			// An error has no exported fields, so it would be written as an empty object.
+			value = err.Error()
+		}
+		fields[name] = value
+	}
+	return fields
+}
+
+func textOf(v any) string {
+	switch x := v.(type) {
+	case string:
+		return x
+	case table.StreamID:
+		return string(x)
+	case table.RequestID:
+		return string(x)
+	default:
+		return ""
+	}
+}
+
 // Fields are the structured values of a log line.
 type Fields = logrus.Fields
 
@@ -58,10 +118,12 @@
 		}
 		logger.SetLevel(level)
 	}
-	return &Journal{
+	j := &Journal{
 		entry: logger.WithField("host", string(cfg.Host)),
 		lines: map[table.RequestID][]Line{},
-	}, nil
+	}
+	logger.AddHook(hook{journal: j})
+	return j, nil
 }
 
 // Log returns the logger for lines that are no decisions.
@@ -86,16 +148,16 @@
 func (j *Journal) Record(request table.RequestID, decision string, fields Fields) Record {
 	r := Record{journal: j, request: request, decision: decision, fields: fields, at: time.Now()}
 	if request != "" {
-		j.remember(request, Line{Time: r.at, Decision: decision, Fields: fields})
+		j.remember(string(request), Line{Time: r.at, Decision: decision, Fields: readable(fields)})
 	}
 	return r
 }
 
 // Write writes the line of the decision with the time of the decision.
 func (r Record) Write() {
-	entry := r.journal.entry.WithFields(r.fields).WithField("decision", r.decision).WithTime(r.at)
+	entry := r.journal.entry.WithFields(r.fields).WithField(decisionField, r.decision).WithTime(r.at)
 	if r.request != "" {
-		entry = entry.WithField("request", string(r.request))
+		entry = entry.WithField(requestField, string(r.request))
 	}
 	entry.Info(r.decision)
 }
@@ -107,7 +169,10 @@
 	return append([]Line(nil), j.lines[request]...)
 }
 
-func (j *Journal) remember(request table.RequestID, line Line) {
+func (j *Journal) remember(id string, line Line) {
+	// Routing numbers the dispatches of one request behind a slash.
+	id, _, _ = strings.Cut(id, "/")
+	request := table.RequestID(id)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	lines, known := j.lines[request]
--- a/test/system/system.go
+++ b/test/system/system.go
@@ -58,6 +58,8 @@
 	ReadsPerSecond   int
 	// FlushMs is the claim flush interval; zero means the default.
 	FlushMs int
+	// Queue bounds the requests that wait for drafts at a host; zero means 512.
+	Queue int
 }
 
 // Host is one entry host.
@@ -71,9 +73,13 @@
 	settings string
 }
 
+// Settings returns the settings file of the host.
+func (h *Host) Settings() string { return h.settings }
+
 // System is a running system.
 type System struct {
 	cfg      Config
+	network  string
 	Platform *Process
 	Engines  []*Process
 	Plain    []*Process
@@ -92,6 +98,9 @@
 
 func (s *System) start(ctx context.Context) error {
 	var err error
+	if s.network, err = network(); err != nil {
+		return err
+	}
 	args := []string{
 		"platform", "--weight-bytes-per-second=1000000000", "--weight-loads-at-once=4",
 		"--reads-per-second=" + strconv.Itoa(s.cfg.ReadsPerSecond), "--writes-per-second=" + strconv.Itoa(s.cfg.WritesPerSecond),
@@ -142,7 +151,8 @@
 		}
 	}
 	for i := range 2 {
-		p, err := spawnStandin(s.cfg.Dir, s.cfg.Bin, fmt.Sprintf("registry-%d", i), "plain", "--work="+s.cfg.Work.String())
+		p, err := spawnStandin(s.cfg.Dir, s.cfg.Bin, fmt.Sprintf("registry-%d", i), "plain", "--work="+s.cfg.Work.String(),
+			"--record="+recordPath(s.cfg.Dir, fmt.Sprintf("registry-%d", i)))
 		if err != nil {
 			return err
 		}
@@ -167,6 +177,8 @@
 	}
 	if s.cfg.KeepNoExecutions {
 		args = append(args, "--no-executions")
+	} else {
+		args = append(args, "--record="+recordPath(s.cfg.Dir, name))
 	}
 	p, err := spawnStandin(s.cfg.Dir, s.cfg.Bin, name, args...)
 	if err != nil {
@@ -178,13 +190,11 @@
 
 func (s *System) prepareHost(i int) (*Host, error) {
 	h := &Host{ID: fmt.Sprintf("host-%d", i), Domain: fmt.Sprintf("domain-%d", i%3)}
-	for _, a := range []*string{&h.Caller, &h.Peer, &h.Operator} {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		*a = address
+	ports, err := freeAddresses(fmt.Sprintf("%s.%d", s.network, i+1), 3)
+	if err != nil {
+		return nil, err
 	}
+	h.Caller, h.Peer, h.Operator = ports[0], ports[1], ports[2]
 	level := s.cfg.LogLevel
 	if level == "" {
 		level = "info"
@@ -281,6 +291,23 @@
 	return nil
 }
 
+// Delete calls a control path of a stand-in with DELETE, which ends its faults.
+func Delete(ctx context.Context, address, path string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+path, nil)
+	if err != nil {
+		return eris.Wrap(err, "system.Delete")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "system.Delete")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return eris.Errorf("DELETE %s%s: %s", address, path, resp.Status)
+	}
+	return nil
+}
+
 // Get reads JSON from an address.
 func Get(ctx context.Context, address, path string, v any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
@@ -315,6 +342,10 @@
 
 // Documents returns the service documents of the system at generation 0.
 func (s *System) Documents() ([]document.Document, error) {
+	queue := int64(s.cfg.Queue)
+	if queue == 0 {
+		queue = 512
+	}
 	drafts, err := document.New(document.Config{
 		Service: Drafts, Kind: document.Pipeline, Owner: "labels-team",
 		Model:     &document.Model{Name: Model, Version: Version, Layers: Layers, LayerBytes: 100_000_000, KVBytesPerToken: 65536},
@@ -323,7 +354,7 @@
 			{Name: "declaration", Priority: 0, FirstTokenMs: 2000},
 			{Name: "summary", Priority: 2, FirstTokenMs: 5000},
 		},
-		Limits: document.Limits{Queue: 512, MaxTokens: 4096, TimeoutMs: 60000},
+		Limits: document.Limits{Queue: queue, MaxTokens: 4096, TimeoutMs: 60000},
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "system.Documents")
@@ -366,14 +397,15 @@
 // waitReady waits until every host answers a lookup and a short draft.
 func (s *System) waitReady(ctx context.Context) error {
 	for _, h := range s.Hosts {
-		if err := WaitFor(ctx, startTimeout, func() error { return s.probe(ctx, h) }); err != nil {
+		if err := WaitFor(ctx, startTimeout, func() error { return s.Probe(ctx, h) }); err != nil {
 			return eris.Wrapf(err, "%s is not ready", h.ID)
 		}
 	}
 	return nil
 }
 
-func (s *System) probe(ctx context.Context, h *Host) error {
+// Probe returns an error unless a host answers a lookup and a short draft.
+func (s *System) Probe(ctx context.Context, h *Host) error {
 	answer, err := Call(ctx, h.Caller, CallConfig{Method: http.MethodGet, Service: Registry, Path: "lots/0", Workspace: "plant-b"})
 	if err != nil {
 		return err
