--- a/internal/daemon/journal/journal.go
+++ b/internal/daemon/journal/journal.go
@@ -27,7 +27,7 @@
 	decisionField = "decision"
 )
 
-// hook remembers the lines of each request, whichever part of the daemon wrote them.
+// hook remembers the lines of each request that are no decisions, whichever part of the daemon wrote them.
 type hook struct{ journal *Journal }
 
 // Levels implements logrus.Hook.
@@ -35,6 +35,10 @@
 
 // Fire implements logrus.Hook.
 func (h hook) Fire(entry *logrus.Entry) error {
+	if _, decision := entry.Data[decisionField]; decision {
+		// A decision was remembered when it was recorded.
+		return nil
+	}
 	id := textOf(entry.Data[requestField])
 	if id == "" {
 		id = textOf(entry.Data[streamField])
@@ -42,10 +46,14 @@
 	if id == "" {
 		return nil
 	}
-	// Routing numbers the dispatches of one request behind a slash.
-	id, _, _ = strings.Cut(id, "/")
+	h.journal.remember(id, Line{Time: entry.Time, Decision: entry.Message, Fields: readable(entry.Data)})
+	return nil
+}
+
+// readable returns the fields that an explanation shows.
+func readable(data Fields) Fields {
 	fields := Fields{}
-	for name, value := range entry.Data {
+	for name, value := range data {
 		if name == "host" || name == requestField || name == decisionField {
 			continue
 		}
@@ -55,8 +63,7 @@
 		}
 		fields[name] = value
 	}
-	h.journal.remember(table.RequestID(id), Line{Time: entry.Time, Decision: entry.Message, Fields: fields})
-	return nil
+	return fields
 }
 
 func textOf(v any) string {
@@ -124,11 +131,35 @@
 
 // Decision writes one line for a decision; an empty request means that it belongs to none.
 func (j *Journal) Decision(request table.RequestID, decision string, fields Fields) {
-	entry := j.entry.WithFields(fields).WithField(decisionField, decision)
+	j.Record(request, decision, fields).Write()
+}
+
+// Record is a decision that is remembered but not yet written.
+type Record struct {
+	journal  *Journal
+	request  table.RequestID
+	decision string
+	fields   Fields
+	at       time.Time
+}
+
+// Record remembers a decision for Explain and leaves the writing of its line to the caller, who can answer the
+// request first: the write of a line takes longer than the decision.
+func (j *Journal) Record(request table.RequestID, decision string, fields Fields) Record {
+	r := Record{journal: j, request: request, decision: decision, fields: fields, at: time.Now()}
 	if request != "" {
-		entry = entry.WithField(requestField, string(request))
+		j.remember(string(request), Line{Time: r.at, Decision: decision, Fields: readable(fields)})
+	}
+	return r
+}
+
+// Write writes the line of the decision with the time of the decision.
+func (r Record) Write() {
+	entry := r.journal.entry.WithFields(r.fields).WithField(decisionField, r.decision).WithTime(r.at)
+	if r.request != "" {
+		entry = entry.WithField(requestField, string(r.request))
 	}
-	entry.Info(decision)
+	entry.Info(r.decision)
 }
 
 // Explain returns the recorded decisions of a request, oldest first.
@@ -138,7 +169,10 @@
 	return append([]Line(nil), j.lines[request]...)
 }
 
-func (j *Journal) remember(request table.RequestID, line Line) {
+func (j *Journal) remember(id string, line Line) {
+	// Routing numbers the dispatches of one request behind a slash.
+	id, _, _ = strings.Cut(id, "/")
+	request := table.RequestID(id)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	lines, known := j.lines[request]
