--- a/test/failure/documents_test.go
+++ b/test/failure/documents_test.go
@@ -1,13 +1,11 @@
 package failure
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
-	"waxwingplank/internal/core/document"
 	"waxwingplank/test/system"
 )
 
@@ -19,37 +17,13 @@
 	err       error
 }
 
-// registryWith returns the registry's document, in which a change adds one workspace.
-func (s *scene) registryWith(workspace string) (document.Document, error) {
-	docs, err := s.sys.Documents()
-	if err != nil {
-		return document.Document{}, err
-	}
-	var cfg document.Config
-	for _, d := range docs {
-		if d.Service() != system.Registry {
-			continue
-		}
-		text, err := d.WithGeneration(1).Canonical()
-		if err != nil {
-			return d, err
-		}
-		if err := json.Unmarshal(text, &cfg); err != nil {
-			return d, err
-		}
-	}
-	cfg.Generation = 0
-	cfg.Workspaces = append(cfg.Workspaces, document.Workspace{Name: workspace, Weight: 1})
-	return document.New(cfg)
-}
-
 // apply sends a change that adds the workspace of its name, based on a generation, and goes on.
 func (s *scene) apply(words []string, o map[string]string) error {
 	h, err := s.host(o["host"])
 	if err != nil {
 		return err
 	}
-	d, err := s.registryWith(words[0])
+	d, err := s.sys.RegistryWith(words[0])
 	if err != nil {
 		return err
 	}
--- a/test/failure/faults_test.go
+++ b/test/failure/faults_test.go
@@ -151,6 +151,25 @@
 	return nil
 }
 
+// attempts checks that the engines ran drafts in several attempts: a receipt that lacks a layer comes with the right
+// text, so only a further attempt shows that it was refused.
+func (s *scene) attempts(words []string, o map[string]string) error {
+	records, err := s.engineRecords()
+	if err != nil {
+		return err
+	}
+	for _, name := range words {
+		seen := map[int]bool{}
+		for _, e := range records[s.drafts[name].result.RequestID] {
+			seen[e.Attempt] = true
+		}
+		if least := number(o, "least", 2); len(seen) < least {
+			return fmt.Errorf("draft %s ran in %d attempts, must be %d at least", name, len(seen), least)
+		}
+	}
+	return nil
+}
+
 // coversAll checks that some attempt ran all layers of each position exactly once.
 func coversAll(list []engine.Execution, tokens int) error {
 	whole := wholePositions(list)
--- a/test/system/operator.go
+++ b/test/system/operator.go
@@ -34,6 +34,32 @@
 	return strings.Contains(string(refusal.Error[side]), strconv.Quote(workspace))
 }
 
+// RegistryWith returns the registry's document with further workspaces.
+func (s *System) RegistryWith(names ...string) (document.Document, error) {
+	docs, err := s.Documents()
+	if err != nil {
+		return document.Document{}, err
+	}
+	var cfg document.Config
+	for _, d := range docs {
+		if d.Service() != Registry {
+			continue
+		}
+		text, err := d.WithGeneration(1).Canonical()
+		if err != nil {
+			return d, eris.Wrap(err, "system.RegistryWith")
+		}
+		if err := json.Unmarshal(text, &cfg); err != nil {
+			return d, eris.Wrap(err, "system.RegistryWith")
+		}
+	}
+	cfg.Generation = 0
+	for _, name := range names {
+		cfg.Workspaces = append(cfg.Workspaces, document.Workspace{Name: name, Weight: 1})
+	}
+	return document.New(cfg)
+}
+
 // Apply sends a document to a host, based on a generation.
 func Apply(ctx context.Context, operator string, d document.Document, base int) (ApplyResult, error) {
 	text, err := d.WithGeneration(uint64(base)).Canonical()
