--- a/internal/standin/objectapi/faults.go
+++ b/internal/standin/objectapi/faults.go
@@ -26,6 +26,8 @@
 	Outage Outage `json:"outage"`
 	// DelayMS delays every call before its effect.
 	DelayMS int `json:"delay_ms"`
+	// MuteWatches keeps changes from watches, as a platform does that goes right after it accepted a write.
+	MuteWatches bool `json:"mute_watches"`
 	// Kind limits the faults below to writes of one object kind.
 	Kind string `json:"kind"`
 	// FailWrites makes the next writes fail with FailStatus (default 503) without an effect.
--- a/internal/standin/objectapi/handlers.go
+++ b/internal/standin/objectapi/handlers.go
@@ -135,7 +135,7 @@
 	defer deadline.Stop()
 	for {
 		rows, version, reset, changed := s.store.since(kind, after)
-		if len(rows) > 0 || reset {
+		if (len(rows) > 0 || reset) && !s.faults.get().MuteWatches {
 			answer(w, wire(rows, version, reset))
 			return
 		}
