--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -17,7 +17,6 @@
 	"github.com/rotisserie/eris"
 
 	"waxwingplank/internal/core/claim"
-	"waxwingplank/internal/core/document"
 	"waxwingplank/internal/core/membership"
 	"waxwingplank/internal/core/quarantine"
 	"waxwingplank/internal/core/routing"
@@ -47,6 +46,8 @@
 	callerHeartbeat = 500 * time.Millisecond
 	// headerTimeout bounds how long a connection may take for its headers.
 	headerTimeout = 5 * time.Second
+	// bodyTimeout lets a body of the largest size in at 1 Mbit/s.
+	bodyTimeout = 10 * time.Second
 	// idleTimeout closes connections that carry no request, so that callers that vanished free them.
 	idleTimeout = 60 * time.Second
 	maxAttempts = 8
@@ -145,14 +146,9 @@
 		Engines: d.engine, Journal: d.journal, Post: d.dispatcher.Post, Clock: time.Now,
 		OnIncarnation: d.runner.SetIncarnation, OnCrash: d.endpointRestarted,
 	})
-	d.members.OnDocument(func(doc document.Document) {
-		d.journal.Decision("", "document_adopted", journal.Fields{
-			"service": string(doc.Service()), "generation": doc.Generation(),
-		})
-		d.fleet.Adopt(doc)
-	})
+	d.members.OnDocument(d.fleet.Adopt)
 	d.caller = caller.New(caller.Config{
-		Backend: d, BodyBytes: d.set.BodyBytes(), Streams: d.set.Streams(), RequestLifetime: d.set.MaxRequest(),
+		Backend: d, BodyBytes: d.set.BodyBytes(), BodyTimeout: bodyTimeout, Streams: d.set.Streams(), RequestLifetime: d.set.MaxRequest(),
 		HeartbeatEvery: callerHeartbeat, NewRequestID: d.newRequestID,
 	})
 	return nil
@@ -211,10 +207,11 @@
 	if err := d.listen(parts); err != nil {
 		return eris.Wrap(err, "run.Run")
 	}
-	for _, part := range []func(context.Context){d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.sweep} {
+	for _, part := range []func(context.Context){d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.sweep, d.reportLoad} {
 		d.tasks.Go(func() { part(parts) })
 	}
 	d.members.Start()
+	d.publishMetrics()
 	d.journal.Log().WithField("caller_address", d.set.Caller()).Info("host started")
 	select {
 	case <-ctx.Done():
--- a/internal/ingress/caller/events.go
+++ b/internal/ingress/caller/events.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"waxwingplank/internal/core/outcome"
 )
@@ -31,6 +32,7 @@
 	started  bool
 	closed   bool
 	deadline time.Time
+	written  time.Time
 }
 
 func newEventWriter(w http.ResponseWriter, every time.Duration, cancel context.CancelFunc) *eventWriter {
@@ -50,15 +52,26 @@
 	e.buf = append(e.buf, "\ndata: {\"position\":"...)
 	e.buf = strconv.AppendInt(e.buf, int64(position), 10)
 	e.buf = append(e.buf, ",\"text\":"...)
-	quoted, err := json.Marshal(text)
-	if err != nil {
-		return err
-	}
-	e.buf = append(e.buf, quoted...)
+	e.buf = appendQuoted(e.buf, text)
 	e.buf = append(e.buf, "}\n\n"...)
 	return e.write()
 }
 
+// appendQuoted appends the text as encoding/json writes it. Most tokens need no escape and are copied, since
+// a call of json.Marshal costs two allocations for each token.
+func appendQuoted(b []byte, text string) []byte {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' || c >= utf8.RuneSelf-1 || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			// Marshal of a string cannot fail: it replaces what is not valid UTF-8.
+			quoted, _ := json.Marshal(text)
+			return append(b, quoted...)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, text...)
+	return append(b, '"')
+}
+
 // Done implements Sink.
 func (e *eventWriter) Done(tokens int, reason string) error {
 	return e.event("done", map[string]any{"tokens": tokens, "finish_reason": reason})
@@ -104,6 +117,12 @@
 	if e.closed {
 		return
 	}
+	// An event tells the caller as much as a comment, and the write of a comment costs as much as that of a
+	// token. The pause between two writes stays within one period either way.
+	if pause := time.Since(e.written); e.started && pause < e.every {
+		e.timer.Reset(e.every - pause)
+		return
+	}
 	if e.started {
 		e.buf = append(e.buf[:0], ": heartbeat\n\n"...)
 		if err := e.write(); err != nil {
@@ -122,8 +141,9 @@
 		e.started = true
 	}
 	// Moving the deadline costs a timer update, so it moves only when a quarter of it has passed.
-	if now := time.Now(); e.deadline.Sub(now) < writeTimeout {
-		e.deadline = now.Add(writeTimeout + writeTimeout/4)
+	e.written = time.Now()
+	if e.deadline.Sub(e.written) < writeTimeout {
+		e.deadline = e.written.Add(writeTimeout + writeTimeout/4)
 		_ = e.ctl.SetWriteDeadline(e.deadline)
 	}
 	if _, err := e.w.Write(e.buf); err != nil {
--- a/test/system/process.go
+++ b/test/system/process.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -131,19 +132,30 @@
 	}
 }
 
-// lastHost numbers the loopback addresses that this process has given to hosts.
-var lastHost atomic.Uint32
+// lastNetwork numbers the systems of this process.
+var lastNetwork atomic.Uint32
 
-// freeAddress returns a port that is free on a loopback address of its own. On 127.0.0.1 a connection that any
-// process opens may take the port before the host listens there, which happened when systems start in parallel.
-func freeAddress() (string, error) {
-	const perByte = 250
-	pid, n := os.Getpid(), lastHost.Add(1)
-	ip := net.IPv4(127, byte(1+pid/perByte%perByte), byte(1+pid%perByte), byte(1+n%perByte))
-	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", net.JoinHostPort(ip.String(), "0"))
-	if err != nil {
-		return "", eris.Wrap(err, "system.freeAddress")
+// network returns the first three numbers of loopback addresses that no other system uses. Ports of
+// 127.0.0.1 would be taken by outgoing connections of other tests between choosing and using them.
+func network() (string, error) {
+	var random [2]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return "", eris.Wrap(err, "system.network")
+	}
+	return fmt.Sprintf("127.%d.%d", 1+random[0]%254, (uint32(random[1])+lastNetwork.Add(1))%256), nil
+}
+
+// freeAddresses returns addresses of the given IP number with ports that the system chose. All listeners
+// stay open until the last port is chosen, since the system may choose a closed one again.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", ip+":0")
+		if err != nil {
+			return nil, eris.Wrap(err, "system.freeAddresses")
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return out, nil
 }
