Resume where the stream is held, end listeners after their requests, and prove by trials

A leaving host gave requests that came since its last look at the counts 2 s; it now waits for them as the drain allows.

--- a/internal/core/routing/decision.go
+++ b/internal/core/routing/decision.go
@@ -26,6 +26,7 @@
 	CauseCache     Cause = "prefix_cached"
 	CauseFaster    Cause = "lowest_expected_time"
 	CauseOnly      Cause = "only_candidate"
+	CauseHolds     Cause = "may_hold_stream"
 )
 
 // Candidate is a pipeline that was looked at and passed over.
--- a/internal/core/routing/event.go
+++ b/internal/core/routing/event.go
@@ -25,6 +25,8 @@
 	Preamble uint64
 	// MaxTokens bounds the answer; zero for plain calls.
 	MaxTokens int
+	// Prefer names the pipeline that may still hold the stream of the request; empty means none.
+	Prefer string
 	// Avoid lists endpoints that must not take the request.
 	Avoid []table.EndpointID
 	// Isolation lists the crashes that the request is marked with.
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -193,6 +193,11 @@
 // that read the same late figures from choosing alike.
 func (s *System) pick(now time.Time, r *request, d *Dispatch) *target {
 	svc := r.service
+	// Going on where the stream is held generates nothing again; any other target begins at the first token.
+	if t, ok := svc.targets[r.cfg.Prefer]; ok && s.usable(now, r, t, d) {
+		d.cause = CauseHolds
+		return t
+	}
 	var best *target
 	score := math.Inf(1)
 	seen := 0
--- a/internal/daemon/run/drain.go
+++ b/internal/daemon/run/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"waxwingplank/internal/daemon/journal"
@@ -46,13 +47,20 @@
 	}
 }
 
-func (d *Daemon) close(stop context.CancelFunc) {
-	const graceful = 2 * time.Second
-	ctx, cancel := context.WithTimeout(context.Background(), graceful)
+// shutdown ends listeners and waits for their requests.
+func (d *Daemon) shutdown(servers []*http.Server, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	for _, s := range d.servers {
+	for _, s := range servers {
 		_ = s.Shutdown(ctx)
 	}
+}
+
+func (d *Daemon) close(stop context.CancelFunc) {
+	// A caller may send between the last look at the counts and the end of its listener; its request is finished too.
+	d.shutdown(d.servers[:1], d.set.DrainTimeout())
+	const graceful = 2 * time.Second
+	d.shutdown(d.servers[1:], graceful)
 	d.peer.Close()
 	d.members.Close()
 	stop()
--- a/internal/daemon/run/pipelines.go
+++ b/internal/daemon/run/pipelines.go
@@ -69,7 +69,7 @@
 	cfg := routing.ArrivedConfig{
 		Request: t.begin(), Service: req.Service, Workspace: req.Workspace, Kind: req.Kind,
 		Priority: req.Priority, Weight: t.weight, Preamble: preambleHash(req.Preamble),
-		MaxTokens: t.maxTokens, Avoid: avoid, Recovery: req.Recovery, Since: req.Since,
+		MaxTokens: t.maxTokens, Prefer: req.Prefer, Avoid: avoid, Recovery: req.Recovery, Since: req.Since,
 		FirstSend: t.first, Repeatable: true, Key: t.key, Deadline: t.deadline,
 	}
 	if req.Recovery {
--- a/test/failure/capacity_test.go
+++ b/test/failure/capacity_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +12,44 @@
 	"waxwingplank/test/system"
 )
 
+// cancelled checks that each engine that ran a draft has the record of a cancel for it.
+func (s *scene) cancelled(words []string, o map[string]string) error {
+	return system.WaitFor(s.ctx, span(o, "within", 3*time.Second), func() error {
+		for _, p := range s.running(s.sys.Engines) {
+			var all struct {
+				Cancels []struct{ Stream string }
+			}
+			if err := system.Get(s.ctx, p.Address(), "/standin/executions", &all); err != nil {
+				return err
+			}
+			for _, name := range words {
+				id := s.drafts[name].result.RequestID
+				ran, err := s.ranOn(p, id)
+				if err != nil {
+					return err
+				}
+				if ran && !slices.ContainsFunc(all.Cancels, func(c struct{ Stream string }) bool { return c.Stream == id }) {
+					return fmt.Errorf("%s was not told that draft %s is over", p.Name(), name)
+				}
+			}
+		}
+		return nil
+	})
+}
+
+func (s *scene) ranOn(p *system.Process, id string) (bool, error) {
+	all, err := s.sys.Runs(p)
+	if err != nil {
+		return false, err
+	}
+	for _, e := range all {
+		if e.Stream == id {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 // leave closes the connection of the callers.
 func (s *scene) leave(words []string, _ map[string]string) error {
 	for _, name := range words {
@@ -127,18 +166,19 @@
 	}
 }
 
-// load starts callers that use each host in turn, also where the address is stale.
+// load starts callers that use the hosts of their address answers in turn, also where an address is stale.
 func (s *scene) load(_ []string, o map[string]string) error {
 	s.loads = &load{end: make(chan struct{})}
 	end := s.loads.end
 	for i := range number(o, "callers", 12) {
 		s.pending.Go(func() {
-			for n := i; ; n++ {
+			c := &loadCaller{number: i, stale: o["stale"] != ""}
+			for {
 				select {
 				case <-end:
 					return
 				default:
-					s.loadOne(i, n, number(o, "tokens", 60))
+					s.loadOne(c, number(o, "tokens", 60))
 				}
 			}
 		})
@@ -146,11 +186,49 @@
 	return nil
 }
 
+// loadCaller keeps an address answer for its lifetime, as callers do; a host may begin to leave meanwhile.
+type loadCaller struct {
+	number, sent int
+	// stale makes the caller use every host in turn for ever.
+	stale     bool
+	addresses []string
+	until     time.Time
+}
+
+func (s *scene) addressFor(c *loadCaller) string {
+	if c.stale {
+		c.sent++
+		return s.sys.Hosts[(c.number+c.sent)%len(s.sys.Hosts)].Caller
+	}
+	for i := 0; time.Now().After(c.until); i++ {
+		var answer struct {
+			Addresses  []struct{ Address string }
+			LifetimeMs int `json:"lifetime_ms"`
+		}
+		h := s.sys.Hosts[(c.number+i)%len(s.sys.Hosts)]
+		if err := system.Get(s.ctx, h.Caller, "/v1/addresses?service="+system.Drafts, &answer); err != nil || len(answer.Addresses) == 0 {
+			if s.ctx.Err() != nil {
+				return h.Caller
+			}
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		c.addresses = nil
+		for _, a := range answer.Addresses {
+			c.addresses = append(c.addresses, a.Address)
+		}
+		c.until = time.Now().Add(time.Duration(answer.LifetimeMs) * time.Millisecond)
+	}
+	c.sent++
+	return c.addresses[(c.number+c.sent)%len(c.addresses)]
+}
+
 // loadOne sends one draft. A connection that is refused sent nothing, so the caller takes the next address; a
 // connection that breaks after a token was cut off.
-func (s *scene) loadOne(caller, n, tokens int) {
-	prompt := fmt.Sprintf("Load %d %d", caller, n)
-	got := system.Draft(s.ctx, s.sys.Hosts[n%len(s.sys.Hosts)].Caller, system.DraftConfig{
+func (s *scene) loadOne(c *loadCaller, tokens int) {
+	address := s.addressFor(c)
+	prompt := fmt.Sprintf("Load %d %d", c.number, c.sent)
+	got := system.Draft(s.ctx, address, system.DraftConfig{
 		Prompt: prompt, MaxTokens: tokens, Workspace: "plant-b", Kind: "summary",
 	})
 	err := got.Check(prompt, 0, tokens)
--- a/test/failure/failure_test.go
+++ b/test/failure/failure_test.go
@@ -58,6 +58,7 @@
 			"system":       command((*scene).start),
 			"leave":        command((*scene).leave),
 			"never-ran":    command((*scene).neverRan),
+			"cancelled":    command((*scene).cancelled),
 			"attempts":     command((*scene).attempts),
 			"one-ran":      command((*scene).oneRan),
 			"many":         command((*scene).many),
