Guard the log of a matrix cell; check where a recorded call came from

Cause: with the race detector on, the matrix failed: the caller's goroutine and the one that causes the failure both wrote the cell's log. The test of the plain stand-in compared records without their new address. Change: a mutex around the log; the test checks that the address is one of loopback and compares the rest.

--- a/internal/standin/plain/server_test.go
+++ b/internal/standin/plain/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -50,6 +51,10 @@
 			ran := s.Executions()
 			is.Equal(len(ran), tc.ran)
 			for _, e := range ran {
+				from, err := netip.ParseAddrPort(e.From)
+				is.NoErr(err)
+				is.True(from.Addr().IsLoopback())
+				e.From = ""
 				is.Equal(e, plain.Execution{Key: "1700000000-a", Method: "POST", Path: "/registrations?lot=1", Body: "lot"})
 			}
 			read, err := c.Call(context.Background(), client.Request{
--- a/test/failure/matrix_test.go
+++ b/test/failure/matrix_test.go
@@ -105,10 +105,17 @@
 	tasks sync.WaitGroup
 	known map[string]bool
 	undo  []func() error
-	log   []string
+
+	// mu guards log, which the caller's goroutine and the one that causes the failure write.
+	mu  sync.Mutex
+	log []string
 }
 
-func (c *cell) note(format string, args ...any) { c.log = append(c.log, fmt.Sprintf(format, args...)) }
+func (c *cell) note(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.log = append(c.log, fmt.Sprintf(format, args...))
+}
 
 func (c *cell) close(t *testing.T) {
 	if c.sys != nil {
