Let a host that has just started wait for its documents; show endpoints and leases

Cause: in a rolling restart 1 of 925 streams got not_found, because its host was asked before it had read any document. Status listed no endpoints, leases or engines without a pipeline. Change: within 2 s of its start a host waits for an unknown service; status shows each endpoint with its owner, the placement leases held, and engines of an owned service that stand in no pipeline. Conclusion: builds and lints; client and fleet tests pass.

--- a/internal/client/command/show.go
+++ b/internal/client/command/show.go
@@ -127,7 +127,7 @@
 func (s *session) showEndpoints(list []operator.EndpointStatus) {
 	var rows [][]string
 	for _, e := range list {
-		rows = append(rows, []string{string(e.Endpoint), string(e.Owner), permille(e.SpeedPermille), e.Health, e.FailureDomain})
+		rows = append(rows, []string{string(e.Endpoint), string(e.Owner), speed(e.SpeedPermille), e.Health, e.FailureDomain})
 	}
 	s.columns("ENDPOINT OWNER SPEED HEALTH FAILURE-DOMAIN", rows)
 }
@@ -160,3 +160,11 @@
 	}
 	s.columns("LEASE HOLDER FENCE", rows)
 }
+
+// speed shows a speed that was measured, and a dash where this host has no measurement.
+func speed(n int) string {
+	if n == 0 {
+		return "-"
+	}
+	return permille(n)
+}
--- a/internal/daemon/run/call.go
+++ b/internal/daemon/run/call.go
@@ -22,7 +22,7 @@
 func (d *Daemon) Call(ctx context.Context, req caller.CallRequest) (caller.CallAnswer, error) {
 	d.inflight.calls.Add(1)
 	defer d.inflight.calls.Add(-1)
-	r, err := d.rulesFor(req.Request, document.Plain)
+	r, err := d.rulesFor(ctx, req.Request, document.Plain)
 	if err != nil {
 		return caller.CallAnswer{}, err
 	}
--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -90,6 +90,7 @@
 	lastID   atomic.Uint64
 	inflight counts
 	draining atomic.Bool
+	started  time.Time
 	drain    chan string
 	tasks    sync.WaitGroup
 }
@@ -105,7 +106,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "run.New")
 	}
-	d := &Daemon{set: cfg.Settings, journal: log, drain: make(chan string, 1)}
+	d := &Daemon{set: cfg.Settings, journal: log, drain: make(chan string, 1), started: time.Now()}
 	var salt [8]byte
 	if _, err := rand.Read(salt[:]); err != nil {
 		return nil, eris.Wrap(err, "run.New")
--- a/internal/daemon/run/drain.go
+++ b/internal/daemon/run/drain.go
@@ -9,8 +9,8 @@
 	"waxwingplank/internal/daemon/journal"
 )
 
-// drainCheck is how often a draining host looks at what is left.
-const drainCheck = 50 * time.Millisecond
+// pollEvery is how often a host looks again at something that it waits for.
+const pollEvery = 50 * time.Millisecond
 
 // releaseTimeout bounds the giving back of leases where the platform does not answer.
 const releaseTimeout = 2 * time.Second
@@ -57,7 +57,7 @@
 	}
 	// Requests that peers had passed on before they heard of the leaving have no listener here.
 	for d.inflight.total() > 0 && ctx.Err() == nil {
-		wait(ctx, drainCheck)
+		wait(ctx, pollEvery)
 	}
 	if left := d.inflight.total(); left > 0 {
 		d.journal.Log().WithField("left", left).Error("drain timeout passed with requests in flight")
--- a/internal/daemon/run/operator.go
+++ b/internal/daemon/run/operator.go
@@ -10,6 +10,7 @@
 	"waxwingplank/internal/core/document"
 	"waxwingplank/internal/core/table"
 	"waxwingplank/internal/daemon/documents"
+	"waxwingplank/internal/daemon/orders"
 	"waxwingplank/internal/ingress/operator"
 )
 
@@ -38,8 +39,14 @@
 	if !ok {
 		return operator.ServiceStatus{}, false
 	}
+	var unplaced []operator.Unplaced
+	addresses, _ := o.daemon.fleet.Unplaced(service)
+	for _, address := range addresses {
+		unplaced = append(unplaced, operator.Unplaced{What: address, Why: "not described, or in no pipeline that covers every layer"})
+	}
 	return operator.ServiceStatus{
-		Service: service, Owner: doc.Owner(), Generation: doc.Generation(),
+		Unplaced: unplaced,
+		Service:  service, Owner: doc.Owner(), Generation: doc.Generation(),
 		InForce: o.daemon.members.InForce(service), NotInForce: append([]table.HostID{}, o.daemon.members.Behind(service)...),
 	}, true
 }
@@ -73,9 +80,20 @@
 			State: string(k.State()), Relay: k.Relay(), LoadPermille: k.LoadPermille(),
 		})
 	}
+	for _, k := range o.daemon.fleet.View() {
+		health := "in use by this host"
+		if !k.Used() {
+			health = "not used by this host"
+		}
+		s.Endpoints = append(s.Endpoints, operator.EndpointStatus{Endpoint: k.Endpoint(), Owner: k.Owner(), Health: health})
+	}
 	for _, doc := range m.Documents() {
 		service, _ := o.Service(doc.Service())
 		s.Services = append(s.Services, service)
+		lease := orders.LeaseName(doc.Service())
+		if fence, held := o.daemon.leases.Held(lease); held {
+			s.Leases = append(s.Leases, operator.LeaseStatus{Lease: lease, Holder: o.daemon.set.Host(), Fence: fence})
+		}
 	}
 	return s
 }
--- a/internal/daemon/run/requests.go
+++ b/internal/daemon/run/requests.go
@@ -100,9 +100,25 @@
 	firstToken time.Duration
 }
 
+// startGrace is how long after its start a host may lack documents: it asks the platform and its peers at
+// once, and each has 1 s to answer.
+const startGrace = 2 * time.Second
+
+// document returns the document of the service. A host that has just started is asked before it has
+// read any, since its address is in the answers of other hosts from its first heartbeat on.
+func (d *Daemon) document(ctx context.Context, service table.ServiceID) (document.Document, bool) {
+	for {
+		doc, ok := d.members.Document(service)
+		if ok || ctx.Err() != nil || time.Since(d.started) > startGrace {
+			return doc, ok
+		}
+		wait(ctx, pollEvery)
+	}
+}
+
 // rulesFor returns the rules of the request, or the refusal where its document does not allow it.
-func (d *Daemon) rulesFor(req caller.Request, kind document.Kind) (rules, error) {
-	doc, ok := d.members.Document(req.Service)
+func (d *Daemon) rulesFor(ctx context.Context, req caller.Request, kind document.Kind) (rules, error) {
+	doc, ok := d.document(ctx, req.Service)
 	if !ok {
 		return rules{}, d.refuse(req, outcome.NotFound, fmt.Sprintf("service %q is not known to this host", req.Service))
 	}
--- a/internal/daemon/run/stream.go
+++ b/internal/daemon/run/stream.go
@@ -18,7 +18,7 @@
 func (d *Daemon) Stream(ctx context.Context, req caller.StreamRequest, sink caller.Sink) error {
 	d.inflight.streams.Add(1)
 	defer d.inflight.streams.Add(-1)
-	r, err := d.rulesFor(req.Request, document.Pipeline)
+	r, err := d.rulesFor(ctx, req.Request, document.Pipeline)
 	if err != nil {
 		return err
 	}
