Use the standard word for shared load permits; wire the fleet bench

Cause: the list of weight loads under way was called lanes, a word of this project only; two comments spoke in pictures; benchfleet was not in the bench program. Change: permits (of a semaphore); comments in usual terms; make bench NAME=fleet.

--- a/internal/core/placement/order.go
+++ b/internal/core/placement/order.go
@@ -8,9 +8,9 @@
 	"waxwingplank/internal/core/table"
 )
 
-// lane is one of the loads that the weight store allows at once.
-type lane struct {
-	// until is when the load ends at the lane's part of the store's rate; done is set once it has ended.
+// permit is one of the loads that the weight store allows at once.
+type permit struct {
+	// until is when the load ends at the permit's part of the store's rate; done is set once it has ended.
 	until time.Time
 	done  bool
 }
@@ -20,9 +20,9 @@
 	if s.plan.Generation() == 0 {
 		return
 	}
-	for id, l := range s.lanes {
+	for id, l := range s.permits {
 		if l.done && !now.Before(l.until) {
-			delete(s.lanes, id)
+			delete(s.permits, id)
 		}
 	}
 	for _, address := range sortedKeys(s.endpoints) {
@@ -61,7 +61,7 @@
 	}
 	for _, h := range missing {
 		replaces := slices.ContainsFunc(unwanted, func(u Holding) bool { return u.Version == h.Version })
-		if (replaces && !s.drained(now, e)) || !s.fits(e, h, replaces) || !s.lane(now, e, s.bytes(h.Layers)) {
+		if (replaces && !s.drained(now, e)) || !s.fits(e, h, replaces) || !s.permit(now, e, s.bytes(h.Layers)) {
 			continue
 		}
 		s.send(now, e, SendOrder{kind: Load, model: h.Model, version: h.Version, layers: h.Layers, bytes: s.bytes(h.Layers)})
@@ -148,25 +148,25 @@
 	return used <= e.cfg.MemoryBytes
 }
 
-// lane takes one of the loads that the store allows at once and reports whether there was one. A load
-// keeps its lane for as long as it takes at the lane's part of the rate, so that all loads together stay
+// permit takes one of the loads that the store allows at once and reports whether there was one. A load
+// keeps its permit for as long as it takes at the permit's part of the rate, so that all loads together stay
 // within the rate however fast a single one is.
-func (s *System) lane(now time.Time, e *endpoint, bytes int64) bool {
-	if _, ok := s.lanes[e.cfg.Endpoint]; ok {
+func (s *System) permit(now time.Time, e *endpoint, bytes int64) bool {
+	if _, ok := s.permits[e.cfg.Endpoint]; ok {
 		return true
 	}
-	if s.loadsAtOnce < 1 || s.bytesPerSecond < 1 || len(s.lanes) >= s.loadsAtOnce {
+	if s.loadsAtOnce < 1 || s.bytesPerSecond < 1 || len(s.permits) >= s.loadsAtOnce {
 		return false
 	}
 	seconds := float64(bytes) * float64(s.loadsAtOnce) / float64(s.bytesPerSecond)
-	s.lanes[e.cfg.Endpoint] = lane{until: now.Add(time.Duration(seconds * float64(time.Second)))}
+	s.permits[e.cfg.Endpoint] = permit{until: now.Add(time.Duration(seconds * float64(time.Second)))}
 	return true
 }
 
 func (s *System) release(id table.EndpointID) {
-	if l, ok := s.lanes[id]; ok {
+	if l, ok := s.permits[id]; ok {
 		l.done = true
-		s.lanes[id] = l
+		s.permits[id] = l
 	}
 }
 
--- a/internal/core/placement/system.go
+++ b/internal/core/placement/system.go
@@ -51,7 +51,7 @@
 
 	loadsAtOnce    int
 	bytesPerSecond int64
-	lanes          map[table.EndpointID]lane
+	permits        map[table.EndpointID]permit
 	orders         uint64
 	out            []Decision
 }
@@ -81,7 +81,7 @@
 	return &System{
 		service: cfg.Service, addresses: map[string]bool{}, endpoints: map[string]*endpoint{},
 		byID: map[table.EndpointID]*endpoint{}, links: map[[2]string]time.Duration{}, life: newLife(),
-		lanes: map[table.EndpointID]lane{},
+		permits: map[table.EndpointID]permit{},
 	}
 }
 
--- a/internal/daemon/orders/orders.go
+++ b/internal/daemon/orders/orders.go
@@ -75,7 +75,7 @@
 type Orders struct {
 	cfg     Config
 	workers sync.WaitGroup
-	lanes   *lanes
+	permits *permits
 
 	mu         sync.Mutex
 	services   map[table.ServiceID]*duty
@@ -108,7 +108,7 @@
 	if o.cfg.Go == nil {
 		o.cfg.Go = func(work func()) { o.workers.Go(work) }
 	}
-	o.lanes = newLanes(cfg.Store, cfg.Clock)
+	o.permits = newPermits(cfg.Store, cfg.Clock)
 	return o
 }
 
@@ -395,7 +395,7 @@
 		o.mu.Lock()
 		limits := o.limits
 		o.mu.Unlock()
-		if !o.lanes.take(ctx, o.loadName(x), x.Bytes(), limits) {
+		if !o.permits.take(ctx, o.loadName(x), x.Bytes(), limits) {
 			log.Info("every load that the weight store allows at once is taken")
 			return false
 		}
--- a/internal/daemon/orders/orders_test.go
+++ b/internal/daemon/orders/orders_test.go
@@ -279,7 +279,7 @@
 	}
 	is.True(stale > 0)           // an engine followed an order with an old number
 	is.True(!w.met(second.plan)) // and holds the wrong layers
-	// The lanes of the first holder's loads are dropped 14 s after the second one has seen them.
+	// The permits of the first holder's loads are dropped 14 s after the second one has seen them.
 	w.run(40*time.Second, map[*holder][]string{second: {"drafts"}})
 	is.True(w.met(second.plan))
 	is.Equal(w.stored(t, "drafts"), uint64(1)) // without another plan
--- a/internal/daemon/run/call.go
+++ b/internal/daemon/run/call.go
@@ -104,7 +104,7 @@
 	})
 }
 
-// refuseOnce records the refusal of a copy that may have sisters, so that none of them runs.
+// refuseOnce records the refusal under the key, so that no other copy of the request runs.
 func (d *Daemon) refuseOnce(ctx context.Context, req caller.CallRequest, key claim.Key, cause error) error {
 	var refusal *outcome.Refusal
 	if !errors.As(cause, &refusal) {
--- a/internal/daemon/run/listen.go
+++ b/internal/daemon/run/listen.go
@@ -10,7 +10,7 @@
 )
 
 // silentAfter bounds how long a connection of a caller counts as alive while nothing of what was sent to
-// it is acknowledged. A box between the two ends that has lost track of a connection drops packets without
+// it is acknowledged. A firewall or address translator that has lost track of a connection drops packets without
 // a reset, and the caller's place on every stage would stay taken.
 const silentAfter = 2 * time.Second
 
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -16,6 +16,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"waxwingplank/test/benchclaims"
+	"waxwingplank/test/benchfleet"
 	"waxwingplank/test/benchload"
 	"waxwingplank/test/benchmembers"
 	"waxwingplank/test/benchpath"
@@ -52,10 +53,15 @@
 	{"claims", "at-most-once claims", claims},
 	{"policy", "useful work when capacity is short, and one routing decision", policy},
 	{"members", "membership, relays and adoption of changes from 8 to 410 hosts", members},
+	{"fleet", "bytes and processor time of endpoint owners from 8 to 410 hosts", fleet},
 	{"process", "recovery, documents and addresses on separate processes", process},
 	{"recovery", "time from a fault to the next token, within one process", recovery},
 }
 
+func fleet(_ context.Context, out io.Writer, _ options) error {
+	return benchfleet.Run(benchfleet.Config{Out: out})
+}
+
 func process(ctx context.Context, out io.Writer, o options) error {
 	return benchprocess.Run(ctx, out, o.Bin)
 }
