Resume a stream where it is held, whether or not a slot is free

Cause: a stream that ran under a host that died came to its new host as new work: it waited for a free slot of that host's share, and where there was none it was made again from the first token on another pipeline. Change: a resumed stream counts as recovery and goes straight back to the healthy pipeline of its id; it occupies its slot at the engines in any case. Trial without the change: the script resume.txtar sends r1 to c+d, not to a+b.

--- a/internal/core/routing/requests.go
+++ b/internal/core/routing/requests.go
@@ -25,9 +25,26 @@
 		s.refuse(r, outcome.NoCapacity, "no endpoint of service "+string(cfg.Service)+" is known", time.Second)
 		return
 	}
+	if s.resumeInPlace(now, r) {
+		return
+	}
 	s.enqueue(now, r)
 }
 
+// resumeInPlace sends a stream back to the healthy pipeline that still holds it, whether or not this host has
+// a free slot there: the stream occupies its slot at the engines in any case, under the share of the host
+// that died.
+func (s *System) resumeInPlace(now time.Time, r *request) bool {
+	t, ok := r.service.targets[r.cfg.Prefer]
+	if !ok || !r.cfg.Recovery || t.factor() < 1 || t.avoided(r.cfg.Avoid) || t.conflicts(r.cfg.Isolation) {
+		return false
+	}
+	s.requests[r.cfg.Request] = r
+	s.count(r, 0, 1)
+	s.start(now, r, t, &Dispatch{request: r.cfg.Request, service: r.service.id, recovery: true, cause: CauseHolds})
+	return true
+}
+
 func (s *System) enqueue(now time.Time, r *request) {
 	svc, cfg := r.service, &r.cfg
 	r.charged = svc.cost(r)
--- a/internal/core/routing/script_test.go
+++ b/internal/core/routing/script_test.go
@@ -155,7 +155,7 @@
 	cfg := ArrivedConfig{
 		Request: table.RequestID(id), Service: "s", Workspace: "w", FirstSend: args["resend"] == "",
 		Repeatable: args["once"] == "", Recovery: args["recovery"] != "", MaxTokens: 100, Key: args["key"],
-		Preemptible: args["preemptible"] != "",
+		Preemptible: args["preemptible"] != "", Prefer: args["prefer"],
 	}
 	if v := args["workspace"]; v != "" {
 		cfg.Workspace = table.WorkspaceID(v)
--- a/internal/daemon/run/pipelines.go
+++ b/internal/daemon/run/pipelines.go
@@ -74,7 +74,11 @@
 		MaxTokens: t.maxTokens, Prefer: req.Prefer, Avoid: avoid, Recovery: req.Recovery, Since: req.Since,
 		FirstSend: t.first, Repeatable: true, Key: t.key, Deadline: t.deadline,
 	}
-	if req.Recovery {
+	if req.Prefer != "" {
+		// The stream ran under another host, which is as good a claim to go first.
+		cfg.Recovery = true
+	}
+	if cfg.Recovery {
 		// A stream that already ran is owed the rest of its answer for as long as it may live.
 		cfg.Deadline, cfg.Key = time.Time{}, ""
 	}
