Call a host drained only once its listeners are closed

Change: done is told once the callers' listener is closed and nothing is in flight; the operators' listener stays 500 ms longer to tell it; the client waits for it. Conclusion: exit code 0 means that the process may be stopped. A scripted test of a host that is empty but not done is still to be written.

--- a/internal/client/command/drain.go
+++ b/internal/client/command/drain.go
@@ -43,7 +43,7 @@
 			s.note("%s", line)
 			shown = line
 		}
-		if left.Done || empty(left) {
+		if left.Done {
 			return s.drained(left)
 		}
 		if ctx.Err() != nil {
@@ -55,6 +55,9 @@
 		}
 		// A host that exits right after its last request may not have been seen empty.
 		if silent++; silent == maxSilence {
+			if empty(left) {
+				return s.drained(left)
+			}
 			return fail(exitUnknown, "the host no longer answers; when last seen: %s", shown)
 		}
 		pause(ctx, s.cfg.PollEvery)
--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -82,17 +82,19 @@
 	runner     *streams.Runner
 	tokens     *credentials.Tokens
 
-	caller  *caller.Handler
-	servers []*http.Server
-	peer    *host.Server
+	caller             *caller.Handler
+	callers, operators *http.Server
+	peer               *host.Server
 
 	prefix   string
 	lastID   atomic.Uint64
 	inflight counts
 	draining atomic.Bool
-	started  time.Time
-	drain    chan string
-	tasks    sync.WaitGroup
+	// drained is true once nothing is left and the listeners for callers are closed.
+	drained atomic.Bool
+	started time.Time
+	drain   chan string
+	tasks   sync.WaitGroup
 }
 
 // counts is the number of requests in flight.
@@ -244,12 +246,12 @@
 	if err != nil {
 		return err
 	}
-	d.serve(callers, d.closing(d.caller))
+	d.callers = d.serve(callers, d.closing(d.caller))
 	operators, err := d.listenTLS(ctx, d.set.Operator())
 	if err != nil {
 		return err
 	}
-	d.serve(operators, d.operatorHandler())
+	d.operators = d.serve(operators, d.operatorHandler())
 	peerTLS, err := d.peerServerTLS()
 	if err != nil {
 		return err
@@ -265,17 +267,17 @@
 	return err
 }
 
-func (d *Daemon) serve(listener net.Listener, handler http.Handler) {
+func (d *Daemon) serve(listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: d.set.HeaderBytes(),
 	}
-	d.servers = append(d.servers, server)
 	d.tasks.Go(func() {
 		if err := server.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
 			d.journal.Log().WithError(err).Error("listener ended")
 		}
 	})
+	return server
 }
 
 // sweep deletes claim segments that no shard refers to, on one host at a time.
--- a/internal/daemon/run/drain.go
+++ b/internal/daemon/run/drain.go
@@ -12,6 +12,9 @@
 // pollEvery is how often a host looks again at something that it waits for.
 const pollEvery = 50 * time.Millisecond
 
+// tellDrained is how long operators can still learn that nothing is left.
+const tellDrained = 500 * time.Millisecond
+
 // releaseTimeout bounds the giving back of leases where the platform does not answer.
 const releaseTimeout = 2 * time.Second
 
@@ -50,11 +53,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.DrainTimeout())
 	defer cancel()
 	wait(ctx, spreadLeave)
-	for _, s := range d.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			d.journal.Log().WithError(err).Error("drain timeout passed; connections of callers were cut off")
-		}
-	}
+	d.shutdown(ctx, d.callers)
 	// Requests that peers had passed on before they heard of the leaving have no listener here.
 	for d.inflight.total() > 0 && ctx.Err() == nil {
 		wait(ctx, pollEvery)
@@ -62,6 +61,16 @@
 	if left := d.inflight.total(); left > 0 {
 		d.journal.Log().WithField("left", left).Error("drain timeout passed with requests in flight")
 	}
+	// An operator who waits for the end of the drain asks every few hundred milliseconds at least.
+	d.drained.Store(true)
+	wait(ctx, tellDrained)
+	d.shutdown(ctx, d.operators)
+}
+
+func (d *Daemon) shutdown(ctx context.Context, server *http.Server) {
+	if err := server.Shutdown(ctx); err != nil {
+		d.journal.Log().WithError(err).Error("drain timeout passed; connections were cut off")
+	}
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/internal/daemon/run/operator.go
+++ b/internal/daemon/run/operator.go
@@ -119,7 +119,7 @@
 	streams, calls := int(o.daemon.inflight.streams.Load()), int(o.daemon.inflight.calls.Load())
 	draining := o.daemon.draining.Load()
 	return operator.DrainStatus{
-		Host: o.daemon.set.Host(), Draining: draining, Streams: streams, Calls: calls, Done: draining && streams+calls == 0,
+		Host: o.daemon.set.Host(), Draining: draining, Streams: streams, Calls: calls, Done: o.daemon.drained.Load(),
 	}
 }
 
