--- a/internal/standin/daemon/daemon.go
+++ b/internal/standin/daemon/daemon.go
@@ -25,6 +25,8 @@
 	Unknown Fault = "unknown"
 	// Stuck keeps host c from adopting documents, and a drain from ending.
 	Stuck Fault = "stuck"
+	// Listening keeps the listeners for callers open after the last stream of a drain has ended.
+	Listening Fault = "listening"
 	// CutOff makes host c unreachable: the rest adopts documents without it.
 	CutOff Fault = "cut-off"
 )
@@ -218,7 +220,7 @@
 func (d *Daemon) DrainStatus() operator.DrainStatus {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := operator.DrainStatus{Host: "a", Draining: d.draining, Streams: d.left, Done: d.draining && d.left == 0}
+	s := operator.DrainStatus{Host: "a", Draining: d.draining, Streams: d.left, Done: d.draining && d.left == 0 && d.fault != Listening}
 	if d.draining && d.left > 0 && d.fault != Stuck {
 		d.left--
 	}
