--- a/cmd/waxwingplankd/main.go
+++ b/cmd/waxwingplankd/main.go
@@ -10,8 +10,10 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"waxwingplank/internal/daemon/edge"
 	"waxwingplank/internal/daemon/run"
 	"waxwingplank/internal/daemon/settings"
+	"waxwingplank/platform"
 )
 
 // Exit codes of the daemon.
@@ -23,6 +25,7 @@
 type options struct {
 	Settings string `long:"settings" short:"s" required:"true" description:"settings file in JSON with comments"`
 	Check    bool   `long:"check" description:"check the settings file and exit"`
+	Entry    bool   `long:"entry" description:"serve as an entry host of the users' platform; the settings file is that of docs/OPERATIONS.md"`
 }
 
 func main() { os.Exit(start()) }
@@ -35,6 +38,9 @@
 		}
 		return exitSettings
 	}
+	if opts.Entry {
+		return startEntry(opts)
+	}
 	set, err := settings.Load(opts.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -56,3 +62,30 @@
 	}
 	return 0
 }
+
+// startEntry runs an entry host of the users' platform.
+func startEntry(opts options) int {
+	set, err := edge.LoadSettings(opts.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if opts.Check {
+		return 0
+	}
+	daemon, err := edge.New(edge.Config{
+		Settings: set, Platform: platform.Platform{}, Store: platform.NewStore(set.StoreAddress()),
+		Workers: platform.NewWorkers(), Log: os.Stdout,
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := daemon.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/core/path/path.go
@@ -0,0 +1,92 @@
+package path
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"waxwingplank/internal/core/deployment"
+)
+
+// Part is the range of layers that one worker runs.
+type Part struct {
+	Worker  string
+	Address string
+	Range   deployment.Range
+}
+
+// Path lists the workers of one request in the order of their layers.
+type Path []Part
+
+// Covers reports whether the path runs every one of the layers once and in order.
+func (p Path) Covers(layers int) bool {
+	next := 0
+	seen := map[string]bool{}
+	for _, part := range p {
+		if part.Range.From != next || part.Range.Len() <= 0 || seen[part.Worker] {
+			return false
+		}
+		seen[part.Worker] = true
+		next = part.Range.To
+	}
+	return next == layers
+}
+
+// String lists the parts for the log.
+func (p Path) String() string {
+	parts := make([]string, len(p))
+	for i, part := range p {
+		parts[i] = fmt.Sprintf("%s:%d-%d", part.Worker, part.Range.From, part.Range.To)
+	}
+	return strings.Join(parts, " ")
+}
+
+// Demand is what a request asks of its path.
+type Demand struct {
+	// Domain is the failure domain of the host.
+	Domain string
+	// Prompt and Answer are the tokens to be read and to be written.
+	Prompt int
+	Answer int
+	// Avoid names workers that must not be on the path.
+	Avoid map[string]bool
+}
+
+func (d Demand) tokens() float64 { return float64(d.Prompt + d.Answer) }
+
+// Refusal says why no path was found.
+type Refusal string
+
+// The reasons for having no path.
+const (
+	// Accepted means that there is a path.
+	Accepted Refusal = ""
+	// Uncovered means that some layers are held by no usable worker.
+	Uncovered Refusal = "layers_not_held"
+	// Full means that the workers of some layers have no memory left.
+	Full Refusal = "workers_full"
+)
+
+// worker is one worker of the service.
+type worker struct {
+	endpoint deployment.Endpoint
+	holds    deployment.Range
+	factors  deployment.Accelerator
+	// capacity is the memory for requests in tokens x layers.
+	capacity     float64
+	used         float64
+	streams      int
+	peerUsed     float64
+	peerStreams  int
+	suspectUntil time.Time
+	// suspicions in a row without progress lengthen the next one.
+	suspicions int
+	progressed time.Time
+}
+
+func (w *worker) usable(now time.Time) bool {
+	return w.endpoint.State == deployment.Ready && w.holds.Len() > 0 && !now.Before(w.suspectUntil)
+}
+
+// running returns how many streams of all hosts pass through the worker.
+func (w *worker) running() float64 { return float64(w.streams + w.peerStreams) }
--- /dev/null
+++ b/internal/core/path/silence.go
@@ -0,0 +1,207 @@
+package path
+
+import (
+	"sort"
+	"time"
+
+	"waxwingplank/internal/core/deployment"
+)
+
+const (
+	// usualGap and usualFirst are the waits for the next and the first event before any was measured.
+	usualGap   = 40 * time.Millisecond
+	usualFirst = 120 * time.Millisecond
+	// A stream is silent after silentGaps times the usual gap, but not before minSilence, so that one slow
+	// step is no alarm; before its first event after silentFirst times the usual wait, at least minFirst.
+	silentGaps  = 3
+	minSilence  = 90 * time.Millisecond
+	silentFirst = 3
+	minFirst    = 300 * time.Millisecond
+	// loneFactor lengthens the wait while too few other streams show which worker is at fault.
+	loneFactor = 4
+	// fewCandidates is the number of suspected workers that a new path can do without.
+	fewCandidates = 3
+	// clearance is how much later than a stream another must have moved to clear the workers they share.
+	clearance = 15 * time.Millisecond
+	// suspicion is how long a worker is left out at first. An endpoint that went dark leaves the list within
+	// three heartbeats of about a second.
+	suspicion    = 1500 * time.Millisecond
+	maxSuspicion = 12 * time.Second
+	// smoothing is the weight of a new sample in an average.
+	smoothing = 0.05
+)
+
+// average is an exponentially weighted mean of durations in nanoseconds.
+type average struct{ value float64 }
+
+func (a *average) add(d time.Duration)            { a.value += smoothing * (float64(d) - a.value) }
+func (a *average) times(factor int) time.Duration { return time.Duration(a.value * float64(factor)) }
+
+// stream is a running stream of this host.
+type stream struct {
+	path     Path
+	demand   Demand
+	begun    time.Time
+	last     time.Time
+	events   int
+	reported bool
+}
+
+// Stalled tells that a stream is held up, and by which workers it may be.
+type Stalled struct {
+	Stream   string
+	Suspects map[string]bool
+	Silence  time.Duration
+}
+
+// Progress notes an event of a stream.
+func (s *System) Progress(now time.Time, id string) {
+	st := s.streams[id]
+	if st == nil {
+		return
+	}
+	if st.events == 0 {
+		s.first.add(now.Sub(st.last))
+	} else {
+		s.gap.add(now.Sub(st.last))
+	}
+	st.events++
+	st.last, st.reported = now, false
+	for _, part := range st.path {
+		if w := s.workers[part.Worker]; w != nil {
+			w.progressed, w.suspicions = now, 0
+		}
+	}
+}
+
+// Suspect leaves a worker out of new paths for a while; it is named by its id or address.
+func (s *System) Suspect(now time.Time, name string) {
+	for _, w := range s.workers {
+		if w.endpoint.ID != name && w.endpoint.Address != name {
+			continue
+		}
+		if now.Before(w.suspectUntil) {
+			return
+		}
+		w.suspectUntil = now.Add(min(suspicion<<min(w.suspicions, 5), maxSuspicion))
+		w.suspicions++
+		return
+	}
+}
+
+// Suspected returns the workers that are left out of new paths now.
+func (s *System) Suspected(now time.Time) []string {
+	var out []string
+	for _, id := range s.order {
+		if now.Before(s.workers[id].suspectUntil) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Tick returns the streams that have fallen silent since the last call.
+func (s *System) Tick(now time.Time) []Stalled {
+	var out []Stalled
+	counts := map[string]int{}
+	for id, st := range s.streams {
+		limit := max(s.gap.times(silentGaps), minSilence)
+		if st.events == 0 {
+			limit = max(s.first.times(silentFirst), minFirst)
+		}
+		silence := now.Sub(st.last)
+		if st.reported || silence < limit {
+			continue
+		}
+		suspects := s.uncleared(st)
+		if len(suspects) > fewCandidates && silence < loneFactor*limit {
+			continue
+		}
+		st.reported = true
+		out = append(out, Stalled{Stream: id, Suspects: suspects, Silence: silence})
+		if len(suspects) <= fewCandidates {
+			for w := range suspects {
+				counts[w]++
+			}
+		}
+	}
+	s.accuse(now, counts)
+	sort.Slice(out, func(i, j int) bool { return out[i].Stream < out[j].Stream })
+	return out
+}
+
+// uncleared returns the workers of a silent stream through which nothing has passed since it fell silent.
+func (s *System) uncleared(st *stream) map[string]bool {
+	out := map[string]bool{}
+	for _, part := range st.path {
+		w := s.workers[part.Worker]
+		if w == nil || !w.progressed.After(st.last.Add(clearance)) {
+			out[part.Worker] = true
+		}
+	}
+	return out
+}
+
+// accuse suspects the workers that hold up most of the silent streams.
+func (s *System) accuse(now time.Time, counts map[string]int) {
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	for id, n := range counts {
+		if n == most {
+			s.Suspect(now, id)
+		}
+	}
+}
+
+// Detour returns the path of a stream with the suspects' parts given to other workers; the other parts stay,
+// so that they keep what they have read. It returns nil where the first worker is suspected or no other holds
+// the layers.
+func (s *System) Detour(now time.Time, id string, suspects map[string]bool) Path {
+	st := s.streams[id]
+	if st == nil || len(st.path) == 0 || suspects[st.path[0].Worker] {
+		return nil
+	}
+	d := st.demand
+	d.Avoid = map[string]bool{}
+	for w := range suspects {
+		d.Avoid[w] = true
+	}
+	for _, part := range st.path {
+		d.Avoid[part.Worker] = true
+	}
+	var out Path
+	for i := 0; i < len(st.path); {
+		if !suspects[st.path[i].Worker] {
+			out = append(out, st.path[i])
+			i++
+			continue
+		}
+		span := deployment.Range{From: st.path[i].Range.From}
+		for i < len(st.path) && suspects[st.path[i].Worker] {
+			span.To = st.path[i].Range.To
+			i++
+		}
+		filled, refusal := s.between(now, d, span, "")
+		if refusal != Accepted {
+			return nil
+		}
+		for _, part := range filled {
+			d.Avoid[part.Worker] = true
+		}
+		out = append(out, filled...)
+	}
+	if len(out) > maxParts {
+		return nil
+	}
+	return out
+}
+
+// PathOf returns the path of a stream.
+func (s *System) PathOf(id string) Path {
+	if st := s.streams[id]; st != nil {
+		return st.path
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/path/system.go
@@ -0,0 +1,145 @@
+package path
+
+import (
+	"math/rand"
+	"slices"
+	"time"
+
+	"waxwingplank/internal/core/deployment"
+)
+
+// Config describes a System.
+type Config struct {
+	// Seed feeds the small random changes of costs.
+	Seed int64
+}
+
+// System chooses paths over the workers of one model service and keeps the load that this host puts on them.
+type System struct {
+	engine  *deployment.Engine
+	workers map[string]*worker
+	order   []string
+	streams map[string]*stream
+	random  *rand.Rand
+	gap     average
+	first   average
+}
+
+// New returns a system without workers.
+func New(cfg Config) *System {
+	return &System{
+		workers: map[string]*worker{},
+		streams: map[string]*stream{},
+		random:  rand.New(rand.NewSource(cfg.Seed)),
+		gap:     average{value: float64(usualGap)},
+		first:   average{value: float64(usualFirst)},
+	}
+}
+
+// SetEngine sets the speeds and sizes of the service.
+func (s *System) SetEngine(e *deployment.Engine) { s.engine = e }
+
+// SetEndpoints replaces the workers. One that started anew is free of suspicion and of load.
+func (s *System) SetEndpoints(list []deployment.Endpoint) {
+	next := make(map[string]*worker, len(list))
+	s.order = s.order[:0]
+	for _, e := range list {
+		w := s.workers[e.ID]
+		if w == nil || !w.endpoint.Same(e) {
+			w = &worker{}
+		}
+		w.endpoint, w.holds = e, e.Layers
+		if s.engine != nil {
+			w.factors = s.engine.Accelerator(e.Accelerator)
+			w.capacity = s.contextCapacity(e)
+		}
+		next[e.ID] = w
+		s.order = append(s.order, e.ID)
+	}
+	s.workers = next
+	slices.Sort(s.order)
+}
+
+// contextCapacity returns the memory for requests in tokens x layers.
+func (s *System) contextCapacity(e deployment.Endpoint) float64 {
+	const bytesPerMB = 1e6
+	free := s.engine.Accelerator(e.Accelerator).SizeMB
+	free -= float64(e.Layers.Len()) * s.engine.LayerMB
+	if s.engine.ContextTokenBytes <= 0 || s.engine.Layers == 0 {
+		return 0
+	}
+	return max(free, 0) * bytesPerMB / (s.engine.ContextTokenBytes / float64(s.engine.Layers))
+}
+
+// Load is what streams put on one worker.
+type Load struct {
+	// Context is the memory that they take, in tokens x layers.
+	Context float64 `json:"context"`
+	Streams int     `json:"streams"`
+}
+
+// Loads returns what the streams of this host put on each worker.
+func (s *System) Loads() map[string]Load {
+	out := map[string]Load{}
+	for id, w := range s.workers {
+		if w.streams > 0 {
+			out[id] = Load{Context: w.used, Streams: w.streams}
+		}
+	}
+	return out
+}
+
+// SetPeerLoads replaces what the streams of all other hosts put on the workers.
+func (s *System) SetPeerLoads(loads map[string]Load) {
+	for id, w := range s.workers {
+		w.peerUsed, w.peerStreams = loads[id].Context, loads[id].Streams
+	}
+}
+
+// Streams returns how many streams of this host are running.
+func (s *System) Streams() int { return len(s.streams) }
+
+// Begin notes that a stream was sent on a path; an earlier path of the stream is released.
+func (s *System) Begin(now time.Time, id string, p Path, d Demand) {
+	s.release(id)
+	s.streams[id] = &stream{path: p, demand: d, begun: now, last: now}
+	s.charge(p, d, 1)
+}
+
+// Reroute replaces the path of a stream that goes on.
+func (s *System) Reroute(now time.Time, id string, p Path) {
+	st := s.streams[id]
+	if st == nil {
+		return
+	}
+	s.charge(st.path, st.demand, -1)
+	st.path, st.last, st.reported = p, now, false
+	s.charge(p, st.demand, 1)
+}
+
+// End releases what a stream holds.
+func (s *System) End(id string) { s.release(id) }
+
+func (s *System) release(id string) {
+	if st := s.streams[id]; st != nil {
+		s.charge(st.path, st.demand, -1)
+		delete(s.streams, id)
+	}
+}
+
+func (s *System) charge(p Path, d Demand, sign int) {
+	for _, part := range p {
+		w := s.workers[part.Worker]
+		if w == nil {
+			continue
+		}
+		w.used = max(w.used+float64(sign)*d.tokens()*float64(part.Range.Len()), 0)
+		w.streams = max(w.streams+sign, 0)
+	}
+}
+
+// Covered reports whether a path over all layers exists now, memory aside.
+func (s *System) Covered(now time.Time) bool {
+	_, refusal := s.Choose(now, Demand{})
+	return refusal == Accepted
+}
--- /dev/null
+++ b/internal/daemon/edge/edge.go
@@ -0,0 +1,327 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"waxwingplank/internal/core/deployment"
+	"waxwingplank/internal/core/lease"
+	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/daemon/follow"
+	"waxwingplank/internal/daemon/forward"
+	"waxwingplank/internal/daemon/journal"
+	"waxwingplank/internal/daemon/leases"
+	"waxwingplank/internal/daemon/placing"
+	"waxwingplank/internal/peer/exchange"
+)
+
+const (
+	// watchWait and watchMargin bound how long a silent connection to the store holds up a change: with the rest
+	// below, 2.4 s, within the stability window after which a host must have caught up.
+	watchWait   = 1900 * time.Millisecond
+	watchMargin = 400 * time.Millisecond
+	// endpointRest collects the changes of many endpoints into one call.
+	endpointRest = 150 * time.Millisecond
+	configRest   = 20 * time.Millisecond
+	storeRetry   = 250 * time.Millisecond
+	// lapseReturn is how long after an outage of the store lapsed entries may come back.
+	lapseReturn = 1800 * time.Millisecond
+	lapseOutage = 2 * time.Second
+	// stallPeriod is the time between two looks for silent streams, a fraction of the silence that counts.
+	stallPeriod = 20 * time.Millisecond
+	placePeriod = 150 * time.Millisecond
+	// The lease for placing lasts a few renewals, so that another host takes over a few seconds after its holder
+	// has failed.
+	leaseDuration = 4 * time.Second
+	leaseRenewal  = 1200 * time.Millisecond
+	leaseStop     = 800 * time.Millisecond
+	leasePlacing  = "placing"
+	// idleTimeout is longer than any client is told to keep a connection; the configuration's limit is shorter.
+	idleTimeout = time.Minute
+	// headerTimeout is used until the configuration says otherwise.
+	headerTimeout = 10 * time.Second
+	// directoryTTL is how long callers keep an answer; short, since they use it for up to three times as long.
+	directoryTTL = time.Second
+	// memoryShare of the host's memory is the heap's soft limit.
+	memoryShare = 0.7
+	// gcPercent trades memory, which is billed at its peak, for processor time.
+	gcPercent = 60
+)
+
+// Store reads and writes objects of the platform's store.
+type Store interface {
+	follow.Source
+	leases.Store
+}
+
+// Platform decodes what the platform's operator and endpoints write.
+type Platform interface {
+	// ConfigKind and ConfigName name the object with the configuration, EndpointsKind the endpoints' entries.
+	ConfigKind() string
+	ConfigName() string
+	EndpointsKind() string
+	DecodeConfig(value []byte) (deployment.Config, error)
+	DecodeEndpoint(name string, value []byte) (deployment.Endpoint, error)
+	// Callers, Directory and Readiness serve the platform's calls.
+	Callers(f *forward.Forwarder, closing func() bool) http.Handler
+	Directory(addresses func(domain string) ([]string, time.Duration), log logrus.FieldLogger) http.Handler
+	Readiness(ready func() bool) http.Handler
+}
+
+// Workers sends requests and orders to endpoints.
+type Workers interface {
+	forward.Endpoints
+	placing.Endpoints
+}
+
+// Config describes a Daemon.
+type Config struct {
+	Settings Settings
+	Platform Platform
+	Store    Store
+	Workers  Workers
+	Log      io.Writer
+}
+
+// Daemon is an entry host.
+type Daemon struct {
+	cfg       Config
+	log       *logrus.Entry
+	started   int64
+	forwarder *forward.Forwarder
+	metrics   *forward.Metrics
+	view      *view
+	hosts     *hosts
+	placer    *placing.Placer
+	keeper    *leases.Keeper
+	leaving   atomic.Bool
+}
+
+// decisions writes the forwarder's decisions to the journal.
+type decisions struct{ journal *journal.Journal }
+
+// Decision implements forward.Logger.
+func (d decisions) Decision(request, decision string, fields map[string]any) {
+	d.journal.Decision(table.RequestID(request), decision, fields)
+}
+
+// New returns a daemon; it serves while Run runs.
+func New(cfg Config) (*Daemon, error) {
+	j, err := journal.New(journal.Config{Writer: cfg.Log, Level: cfg.Settings.file.LogLevel, Host: table.HostID(cfg.Settings.file.Host)})
+	if err != nil {
+		return nil, eris.Wrap(err, "edge.New")
+	}
+	d := &Daemon{cfg: cfg, log: j.Log(), started: time.Now().UnixNano(), metrics: forward.NewMetrics()}
+	d.forwarder = forward.New(forward.Config{
+		Endpoints: cfg.Workers, Log: decisions{j}, Metrics: d.metrics, Domain: cfg.Settings.file.FailureDomain,
+		Budget: cfg.Settings.budget(), Seed: rand.Int63(),
+	})
+	d.view = &view{
+		platform: cfg.Platform, log: d.log, unread: map[string]int64{},
+		onTable: d.forwarder.SetTable, onEndpoints: d.forwarder.SetEndpoints,
+	}
+	d.hosts = &hosts{
+		cfg: cfg.Settings, log: d.log, view: d.view, client: exchange.NewClient(tellTimeout), store: cfg.Store,
+		self: func() *exchange.State { return d.state(time.Now()) }, onLoad: d.forwarder.SetPeerLoads, peers: map[string]*peer{},
+	}
+	for _, seed := range cfg.Settings.file.Seeds {
+		d.hosts.add(seed)
+	}
+	d.keeper = leases.New(leases.Config{
+		Store: cfg.Store, Log: d.log, CallTimeout: callTimeout,
+		System: lease.Config{
+			Self: table.HostID(cfg.Settings.file.Host), Incarnation: uint64(d.started), Duration: leaseDuration,
+			Renewal: leaseRenewal, StopBefore: leaseStop, LongestOrder: time.Second, Retry: storeRetry,
+		},
+	})
+	d.placer = placing.New(placing.Config{
+		Endpoints: cfg.Workers, Log: d.log,
+		Held: func() (int64, bool) { return d.keeper.Held(leasePlacing) },
+		Lost: func() { d.keeper.Release(leasePlacing); d.keeper.Hold(leasePlacing) },
+	})
+	return d, nil
+}
+
+// Run serves until ctx ends, then lets open requests finish within the grace period.
+func (d *Daemon) Run(ctx context.Context) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(d.cfg.Settings.file.MemoryMB) * memoryShare * (1 << 20)))
+	d.log.WithField("started", d.started).Info("host starts")
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer stop()
+	servers, err := d.listen(background, &parts)
+	if err != nil {
+		return err
+	}
+	for _, part := range []func(context.Context){
+		d.follower(d.cfg.Platform.ConfigKind(), configRest, 0, d.view.configChanged).Run,
+		d.follower(d.cfg.Platform.EndpointsKind(), endpointRest, lapseReturn, d.view.endpointsChanged).Run,
+		d.follower(kindHosts, endpointRest, 0, d.hosts.changed).Run,
+		func(ctx context.Context) { d.hosts.announce(ctx, d.started) },
+		d.hosts.run, d.watchStreams, d.place, d.keeper.Run,
+	} {
+		parts.Add(1)
+		go func() {
+			defer parts.Done()
+			part(background)
+		}()
+	}
+	d.keeper.Hold(leasePlacing)
+	<-ctx.Done()
+	d.leave(background, servers)
+	d.log.Info("host stops")
+	return nil
+}
+
+func (d *Daemon) follower(kind string, rest, back time.Duration, onChange func(follow.State)) *follow.Follower {
+	return follow.New(follow.Config{
+		Source: d.cfg.Store, Kind: kind, Log: d.log, Wait: watchWait, CallMargin: watchMargin, Rest: rest,
+		Retry: storeRetry, Return: back, Outage: lapseOutage, OnChange: onChange,
+	})
+}
+
+// watchStreams looks for silent streams.
+func (d *Daemon) watchStreams(ctx context.Context) {
+	every(ctx, stallPeriod, func() { d.forwarder.Tick(time.Now()) })
+}
+
+// place orders layers while this host holds the lease.
+func (d *Daemon) place(ctx context.Context) {
+	defer d.placer.Wait()
+	every(ctx, placePeriod, func() {
+		t, endpoints := d.view.current()
+		if t == nil {
+			return
+		}
+		byService := map[string][]deployment.Endpoint{}
+		for _, e := range endpoints {
+			byService[e.Service] = append(byService[e.Service], e)
+		}
+		for name, svc := range t.Services() {
+			d.placer.Tick(ctx, time.Now(), svc, byService[name])
+		}
+		d.forwarder.SetHosts(d.hosts.known())
+	})
+}
+
+func every(ctx context.Context, period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
+
+func (d *Daemon) ready() bool { return !d.leaving.Load() && d.view.known() }
+
+// state is what this host tells its peers.
+func (d *Daemon) state(now time.Time) *exchange.State {
+	f := d.cfg.Settings.file
+	s := &exchange.State{
+		Host: f.Host, Domain: f.FailureDomain, Callers: f.Callers, Peers: f.Peers, Started: d.started,
+		Serving: d.ready(), Leaving: d.leaving.Load(), Loads: d.forwarder.Loads(),
+	}
+	d.view.tell(s, now)
+	s.Want = s.AgeMs > staleAfter.Milliseconds()
+	return s
+}
+
+// Tell implements exchange.Handler.
+func (d *Daemon) Tell(_ context.Context, from *exchange.State) (*exchange.State, error) {
+	now := time.Now()
+	d.hosts.heard(from, now)
+	s := d.state(now)
+	d.view.give(s, from, now)
+	return s, nil
+}
+
+// addresses answers callers that ask where to connect.
+func (d *Daemon) addresses(string) ([]string, time.Duration) {
+	var out []string
+	if d.ready() {
+		out = append(out, d.cfg.Settings.file.Callers)
+	}
+	for _, s := range d.hosts.up(time.Now()) {
+		out = append(out, s.Callers)
+	}
+	return out, min(directoryTTL, seconds(d.cfg.Settings.file.DirectoryTTLMaxS))
+}
+
+// servers are the listeners that are closed one after the other.
+type servers struct {
+	callers *http.Server
+	others  []*http.Server
+}
+
+func (d *Daemon) listen(ctx context.Context, parts *sync.WaitGroup) (*servers, error) {
+	f := d.cfg.Settings.file
+	s := &servers{callers: &http.Server{
+		Handler:           d.cfg.Platform.Callers(d.forwarder, d.leaving.Load),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: nil,
+	}}
+	serve := func(srv *http.Server, address string) error {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if err != nil {
+			return eris.Wrapf(err, "edge.Daemon listen %s", address)
+		}
+		parts.Add(1)
+		go func() {
+			defer parts.Done()
+			if err := srv.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				d.log.WithError(err).WithField("address", address).Error("listener ended")
+			}
+		}()
+		return nil
+	}
+	for address, handler := range map[string]http.Handler{
+		f.Readiness: d.cfg.Platform.Readiness(d.ready),
+		f.Directory: d.cfg.Platform.Directory(d.addresses, d.log),
+		f.Metrics:   http.HandlerFunc(d.writeMetrics),
+	} {
+		srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		if err := serve(srv, address); err != nil {
+			return nil, err
+		}
+		s.others = append(s.others, srv)
+	}
+	if err := serve(s.callers, f.Callers); err != nil {
+		return nil, err
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", f.Peers)
+	if err != nil {
+		return nil, eris.Wrapf(err, "edge.Daemon listen %s", f.Peers)
+	}
+	parts.Add(1)
+	go func() {
+		defer parts.Done()
+		if err := exchange.Serve(ctx, listener, d); err != nil {
+			d.log.WithError(err).Error("peer listener ended")
+		}
+	}()
+	return s, nil
+}
+
+func (d *Daemon) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if err := d.metrics.Write(w); err != nil {
+		d.log.WithError(err).Warn("metrics not written")
+	}
+}
--- /dev/null
+++ b/internal/daemon/edge/hosts.go
@@ -0,0 +1,266 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"waxwingplank/internal/core/path"
+	"waxwingplank/internal/core/storage"
+	"waxwingplank/internal/daemon/follow"
+	"waxwingplank/internal/peer/exchange"
+)
+
+const (
+	// kindHosts is the kind of the objects by which hosts find each other.
+	kindHosts = "waxwingplank-hosts"
+	// tellPeriod is the time between two messages to a peer. Loads that are this old make hosts that choose at
+	// once lean the same way; shorter periods cost processor time.
+	tellPeriod = 500 * time.Millisecond
+	// tellTimeout bounds a message; a host that does not answer in it twice is left out of the directory.
+	tellTimeout = 400 * time.Millisecond
+	// hostTimeout is how long a host that does not answer stays in the directory.
+	hostTimeout = 1300 * time.Millisecond
+	// staleAfter is the age of the endpoints' list from which peers are asked for theirs. It is above the time
+	// that a waiting watch leaves the list unconfirmed.
+	staleAfter = 2800 * time.Millisecond
+	// unansweredPause spaces the messages to hosts that have not answered for long, such as removed ones.
+	unansweredPause = 2 * time.Second
+	callTimeout     = 700 * time.Millisecond
+)
+
+// hostRecord is a host's object in the store.
+type hostRecord struct {
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Domain  string `json:"domain"`
+	Started int64  `json:"started"`
+}
+
+// peer is another host.
+type peer struct {
+	address string
+	state   *exchange.State
+	// heard is when the peer's last answer or message came.
+	heard time.Time
+	asked time.Time
+	busy  bool
+}
+
+// hosts knows the other hosts of the deployment.
+type hosts struct {
+	cfg    Settings
+	log    logrus.FieldLogger
+	view   *view
+	client *exchange.Client
+	store  Store
+	self   func() *exchange.State
+	onLoad func(map[string]path.Load)
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// announce writes the host's record until the store has it.
+func (h *hosts) announce(ctx context.Context, started int64) {
+	record := hostRecord{Callers: h.cfg.file.Callers, Peers: h.cfg.file.Peers, Domain: h.cfg.file.FailureDomain, Started: started}
+	value, err := json.Marshal(record)
+	if err != nil {
+		h.log.WithError(err).Error("host record not written")
+		return
+	}
+	for ctx.Err() == nil {
+		err := h.write(ctx, value)
+		if err == nil {
+			h.log.Info("host record written")
+			return
+		}
+		h.log.WithError(err).Warn("host record not written")
+		select {
+		case <-ctx.Done():
+		case <-time.After(tellPeriod):
+		}
+	}
+}
+
+func (h *hosts) write(ctx context.Context, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	name := h.cfg.file.Host
+	_, err := h.store.Put(ctx, kindHosts, name, 0, value)
+	if !errors.Is(err, storage.ErrConflict) {
+		return err
+	}
+	_, version, err := h.store.Get(ctx, kindHosts, name)
+	if err != nil {
+		return err
+	}
+	_, err = h.store.Put(ctx, kindHosts, name, version, value)
+	return eris.Wrap(err, "edge.hosts write")
+}
+
+// changed takes the hosts' records from the store.
+func (h *hosts) changed(s follow.State) {
+	if !s.Changed {
+		return
+	}
+	for _, o := range s.Objects {
+		var r hostRecord
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			h.log.WithError(err).WithField("host", o.Name).Warn("host record not read")
+			continue
+		}
+		h.add(r.Peers)
+	}
+}
+
+func (h *hosts) add(address string) {
+	if address == "" || address == h.cfg.file.Peers {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.peers[address] == nil {
+		h.peers[address] = &peer{address: address}
+	}
+}
+
+// run tells all peers until ctx ends.
+func (h *hosts) run(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for ctx.Err() == nil {
+		for _, p := range h.due(time.Now()) {
+			calls.Add(1)
+			go func() {
+				defer calls.Done()
+				h.tell(ctx, p)
+			}()
+		}
+		h.sumLoads(time.Now())
+		select {
+		case <-ctx.Done():
+		case <-time.After(tellPeriod):
+		}
+	}
+}
+
+// tellAll tells all peers once, as a host that is leaving does.
+func (h *hosts) tellAll(ctx context.Context) {
+	var calls sync.WaitGroup
+	h.mu.Lock()
+	all := make([]*peer, 0, len(h.peers))
+	for _, p := range h.peers {
+		all = append(all, p)
+	}
+	h.mu.Unlock()
+	for _, p := range all {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			h.tell(ctx, p)
+		}()
+	}
+	calls.Wait()
+}
+
+func (h *hosts) due(now time.Time) []*peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []*peer
+	for _, p := range h.peers {
+		if p.busy || (now.Sub(p.heard) > unansweredPause && now.Sub(p.asked) < unansweredPause) {
+			continue
+		}
+		p.busy, p.asked = true, now
+		out = append(out, p)
+	}
+	return out
+}
+
+func (h *hosts) tell(ctx context.Context, p *peer) {
+	sent := time.Now()
+	state, err := h.client.Tell(ctx, p.address, h.self())
+	h.mu.Lock()
+	p.busy = false
+	h.mu.Unlock()
+	if err != nil {
+		return
+	}
+	h.heard(state, sent)
+}
+
+// heard takes what a peer told.
+func (h *hosts) heard(s *exchange.State, at time.Time) {
+	if s.Peers == "" || s.Peers == h.cfg.file.Peers {
+		return
+	}
+	h.mu.Lock()
+	p := h.peers[s.Peers]
+	if p == nil {
+		p = &peer{address: s.Peers}
+		h.peers[s.Peers] = p
+	}
+	before := p.state
+	wasUp := before != nil && time.Since(p.heard) < hostTimeout
+	p.state, p.heard = s, at
+	h.mu.Unlock()
+	if !wasUp || before.Started != s.Started || before.Leaving != s.Leaving {
+		h.log.WithFields(logrus.Fields{"peer": s.Host, "serving": s.Serving, "leaving": s.Leaving, "started": s.Started}).Info("peer changed")
+	}
+	if len(s.Config) > 0 {
+		h.view.setConfig(s.Config, "peer")
+	}
+	if s.Endpoints != nil {
+		h.view.peerEndpoints(s.Endpoints, at.Add(-time.Duration(s.AgeMs)*time.Millisecond))
+	}
+}
+
+// up returns the peers that answer and take calls.
+func (h *hosts) up(now time.Time) []*exchange.State {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []*exchange.State
+	for _, p := range h.peers {
+		if p.state != nil && now.Sub(p.heard) < hostTimeout && p.state.Serving && !p.state.Leaving {
+			out = append(out, p.state)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
+	return out
+}
+
+// known returns how many hosts there are, this one included.
+func (h *hosts) known() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 1
+	for _, p := range h.peers {
+		if p.state != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *hosts) sumLoads(now time.Time) {
+	sum := map[string]path.Load{}
+	h.mu.Lock()
+	for _, p := range h.peers {
+		if p.state == nil || now.Sub(p.heard) > hostTimeout {
+			continue
+		}
+		for id, l := range p.state.Loads {
+			t := sum[id]
+			sum[id] = path.Load{Context: t.Context + l.Context, Streams: t.Streams + l.Streams}
+		}
+	}
+	h.mu.Unlock()
+	h.onLoad(sum)
+}
--- /dev/null
+++ b/internal/daemon/edge/settings.go
@@ -0,0 +1,111 @@
+package edge
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"waxwingplank/internal/core/jsonc"
+	"waxwingplank/internal/core/retry"
+)
+
+// settingsFile is the settings file of an entry host; see docs/OPERATIONS.md for each field.
+type settingsFile struct {
+	Host             string         `json:"host"`
+	FailureDomain    string         `json:"failure_domain"`
+	Callers          string         `json:"callers_address"`
+	Readiness        string         `json:"readiness_address"`
+	Directory        string         `json:"directory_address"`
+	Peers            string         `json:"peers_address"`
+	Metrics          string         `json:"metrics_address"`
+	Seeds            []string       `json:"seed_addresses"`
+	Store            string         `json:"store_address"`
+	MemoryMB         int64          `json:"memory_mb"`
+	MaxDescriptors   int            `json:"max_descriptors"`
+	GraceS           float64        `json:"grace_s"`
+	DrainMs          float64        `json:"drain_ms"`
+	ConfigApplyMs    float64        `json:"config_apply_ms"`
+	Budget           budgetSettings `json:"budget"`
+	DirectoryTTLMaxS float64        `json:"directory_ttl_max_s"`
+	LogLevel         string         `json:"log_level"`
+}
+
+type budgetSettings struct {
+	Ratio   float64 `json:"ratio"`
+	WindowS float64 `json:"window_s"`
+	Slack   float64 `json:"slack"`
+}
+
+// Settings are the checked settings of an entry host.
+type Settings struct{ file settingsFile }
+
+// LoadSettings reads and checks a settings file; its errors name the line and the field.
+func LoadSettings(name string) (Settings, error) {
+	data, err := os.ReadFile(name) //nolint:gosec // the operator names the file
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "edge.LoadSettings")
+	}
+	var s Settings
+	parsed, err := jsonc.Decode(data, &s.file)
+	if err != nil {
+		return Settings{}, eris.Wrapf(err, "edge.LoadSettings %s", name)
+	}
+	if err := s.check(parsed); err != nil {
+		return Settings{}, eris.Wrapf(err, "edge.LoadSettings %s", name)
+	}
+	return s, nil
+}
+
+func (s Settings) check(parsed *jsonc.File) error {
+	f := s.file
+	for _, text := range []struct{ field, value string }{
+		{"host", f.Host}, {"failure_domain", f.FailureDomain},
+	} {
+		if text.value == "" {
+			return parsed.Fault(text.field, "is missing")
+		}
+	}
+	for _, a := range []struct{ field, value string }{
+		{"callers_address", f.Callers}, {"readiness_address", f.Readiness}, {"directory_address", f.Directory},
+		{"peers_address", f.Peers}, {"metrics_address", f.Metrics}, {"store_address", f.Store},
+	} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return parsed.Fault(a.field, fmt.Sprintf("%q is no address with a port", a.value))
+		}
+	}
+	for i, seed := range f.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return parsed.Fault(fmt.Sprintf("seed_addresses[%d]", i), fmt.Sprintf("%q is no address with a port", seed))
+		}
+	}
+	for _, n := range []struct {
+		field string
+		value float64
+	}{
+		{"memory_mb", float64(f.MemoryMB)}, {"max_descriptors", float64(f.MaxDescriptors)}, {"grace_s", f.GraceS},
+		{"drain_ms", f.DrainMs}, {"config_apply_ms", f.ConfigApplyMs}, {"budget.window_s", f.Budget.WindowS},
+		{"directory_ttl_max_s", f.DirectoryTTLMaxS},
+	} {
+		if n.value <= 0 {
+			return parsed.Fault(n.field, "must be greater than 0")
+		}
+	}
+	if f.Budget.Ratio < 0 || f.Budget.Slack < 0 {
+		return parsed.Fault("budget", "must not be negative")
+	}
+	return nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (s Settings) grace() time.Duration { return seconds(s.file.GraceS) }
+
+func (s Settings) budget() retry.Config {
+	return retry.Config{Window: seconds(s.file.Budget.WindowS), Ratio: s.file.Budget.Ratio, Slack: s.file.Budget.Slack}
+}
+
+// StoreAddress returns the address of the platform's store.
+func (s Settings) StoreAddress() string { return s.file.Store }
--- /dev/null
+++ b/internal/daemon/edge/view.go
@@ -0,0 +1,178 @@
+package edge
+
+import (
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingplank/internal/core/deployment"
+	"waxwingplank/internal/daemon/follow"
+	"waxwingplank/internal/peer/exchange"
+)
+
+// view is what the host knows of the configuration and the endpoints, from the store or from peers.
+type view struct {
+	platform Platform
+	log      logrus.FieldLogger
+	// onTable and onEndpoints are told what has come in force; they run one at a time.
+	onTable     func(*deployment.Table)
+	onEndpoints func([]deployment.Endpoint)
+
+	mu        sync.Mutex
+	table     *deployment.Table
+	config    json.RawMessage
+	snapshot  *exchange.Snapshot
+	endpoints []deployment.Endpoint
+	unread    map[string]int64
+	// confirmed is when the store, or a peer that reads it, last confirmed the endpoints.
+	confirmed time.Time
+}
+
+// configChanged takes the objects of the configuration's kind.
+func (v *view) configChanged(s follow.State) {
+	if !s.Changed {
+		return
+	}
+	for _, o := range s.Objects {
+		if o.Name == v.platform.ConfigName() {
+			v.setConfig(o.Value, "store")
+		}
+	}
+}
+
+// setConfig puts a configuration in force unless a later one already is.
+func (v *view) setConfig(value json.RawMessage, source string) {
+	c, err := v.platform.DecodeConfig(value)
+	if err != nil {
+		v.log.WithError(err).WithField("source", source).Error("configuration not read")
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table != nil && c.Version <= v.table.Version() {
+		return
+	}
+	v.table, v.config = deployment.NewTable(c), value
+	v.log.WithFields(logrus.Fields{
+		"version": c.Version, "source": source, "routes": len(c.Routes), "workspaces": len(c.Workspaces),
+	}).Info("configuration in force")
+	v.onTable(v.table)
+}
+
+// endpointsChanged takes the endpoints' entries from the store.
+func (v *view) endpointsChanged(s follow.State) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s.Confirmed.After(v.confirmed) {
+		v.confirmed = s.Confirmed
+	}
+	if !s.Changed && v.snapshot != nil {
+		return
+	}
+	snapshot := &exchange.Snapshot{Revision: s.Revision}
+	for _, o := range s.Objects {
+		raw, err := json.Marshal(o)
+		if err != nil {
+			v.log.WithError(err).WithField("endpoint", o.Name).Error("entry not kept for peers")
+			continue
+		}
+		snapshot.Objects = append(snapshot.Objects, raw)
+	}
+	v.setEndpoints(snapshot, s.Objects, "store")
+}
+
+// peerEndpoints takes a peer's list where it is newer than ours and the store does not answer us.
+func (v *view) peerEndpoints(s *exchange.Snapshot, confirmed time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !confirmed.After(v.confirmed) || (v.snapshot != nil && s.Revision < v.snapshot.Revision) {
+		return
+	}
+	objects := make([]follow.Object, 0, len(s.Objects))
+	for _, raw := range s.Objects {
+		var o follow.Object
+		if err := json.Unmarshal(raw, &o); err != nil {
+			v.log.WithError(err).Error("peer's entry not read")
+			continue
+		}
+		objects = append(objects, o)
+	}
+	v.confirmed = confirmed
+	v.setEndpoints(s, objects, "peer")
+}
+
+func (v *view) setEndpoints(snapshot *exchange.Snapshot, objects []follow.Object, source string) {
+	before := make(map[string]deployment.Endpoint, len(v.endpoints))
+	for _, e := range v.endpoints {
+		before[e.ID] = e
+	}
+	sort.Slice(objects, func(i, j int) bool { return objects[i].Name < objects[j].Name })
+	v.snapshot, v.endpoints = snapshot, nil
+	unread := map[string]int64{}
+	for _, o := range objects {
+		e, err := v.platform.DecodeEndpoint(o.Name, o.Value)
+		if err != nil {
+			unread[o.Name] = o.Version
+			if v.unread[o.Name] != o.Version {
+				v.log.WithError(err).Warn("endpoint's entry not read")
+			}
+			continue
+		}
+		v.endpoints = append(v.endpoints, e)
+		old, known := before[e.ID]
+		delete(before, e.ID)
+		if !known || old.State != e.State || !old.Same(e) {
+			v.log.WithFields(logrus.Fields{
+				"endpoint": e.ID, "address": e.Address, "state": string(e.State), "source": source,
+				"revision": snapshot.Revision, "layers": e.Layers,
+			}).Info("endpoint changed")
+		}
+	}
+	v.unread = unread
+	for id := range before {
+		v.log.WithFields(logrus.Fields{"endpoint": id, "source": source, "revision": snapshot.Revision}).Info("endpoint gone")
+	}
+	v.onEndpoints(v.endpoints)
+}
+
+// current returns the table and the endpoints, which must not be changed.
+func (v *view) current() (*deployment.Table, []deployment.Endpoint) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table, v.endpoints
+}
+
+// known reports whether the host can serve callers.
+func (v *view) known() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table != nil && v.snapshot != nil
+}
+
+// tell fills in what a peer may need.
+func (v *view) tell(s *exchange.State, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table != nil {
+		s.ConfigVersion = v.table.Version()
+	}
+	if v.snapshot != nil {
+		s.EndpointsRevision = v.snapshot.Revision
+	}
+	s.AgeMs = now.Sub(v.confirmed).Milliseconds()
+}
+
+// give adds what the asking peer lacks.
+func (v *view) give(to *exchange.State, from *exchange.State, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table != nil && from.ConfigVersion < v.table.Version() {
+		to.Config = v.config
+	}
+	if v.snapshot != nil && from.Want && now.Sub(v.confirmed).Milliseconds() < from.AgeMs {
+		to.Endpoints = v.snapshot
+	}
+}
--- /dev/null
+++ b/internal/daemon/forward/stream.go
@@ -0,0 +1,406 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand"
+	"net/http"
+	"strconv"
+	"time"
+
+	"waxwingplank/internal/core/path"
+)
+
+const (
+	// placeWait is how long a new stream waits for room on the workers: an eighth of the aim for the first event
+	// is not felt by callers.
+	placeWait = 60 * time.Millisecond
+	// placeRetry is the time between two looks for a path.
+	placeRetry = 10 * time.Millisecond
+	// resumeWait is how long a stream that has begun may be without a path. Callers give up after 2 s.
+	resumeWait = 1500 * time.Millisecond
+	// rerouteTimeout is well above a call to a worker; after it the stream is resumed instead.
+	rerouteTimeout = 120 * time.Millisecond
+	// retryFull and retryUncovered are the shortest times after which refused callers may return: streams end
+	// after about 2 s, and a worker's layers are loaded in about that time. The same again is added by chance.
+	retryFull      = 700 * time.Millisecond
+	retryUncovered = 1500 * time.Millisecond
+)
+
+// item is what a sending brings: its reply's head, events, or its end.
+type item struct {
+	attempt int
+	reply   *Reply
+	events  []event
+	err     error
+	ended   bool
+}
+
+// streamRun serves one stream.
+type streamRun struct {
+	*run
+	items chan item
+	// attempt numbers the sendings; items of earlier ones are dropped.
+	attempt int
+	cancel  context.CancelFunc
+	path    path.Path
+	// begun is set once the head was relayed; last is the id of the last event passed on.
+	begun   bool
+	last    int64
+	lastID  string
+	numbers bool
+	moved   time.Time
+	avoid   map[string]bool
+	events  int
+}
+
+func (r *run) stream(ctx context.Context) {
+	s := &streamRun{
+		run: r, items: make(chan item, 1), last: -1, lastID: r.call.ResumeAfter, numbers: true,
+		moved: time.Now(), avoid: map[string]bool{}, cancel: func() {},
+	}
+	if n, err := strconv.ParseInt(s.lastID, 10, 64); err == nil {
+		s.last = n
+	}
+	defer func() { s.cancel() }()
+	if !s.start(ctx) {
+		return
+	}
+	for {
+		select {
+		case it := <-s.items:
+			if it.attempt == s.attempt && s.take(ctx, it) {
+				return
+			}
+		case st := <-r.stalled:
+			if s.recover(ctx, st) {
+				return
+			}
+		case <-ctx.Done():
+			s.ended(ctx)
+			return
+		}
+	}
+}
+
+// ended answers a call whose time is up or whose caller has left.
+func (s *streamRun) ended(ctx context.Context) {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		s.log("caller left", map[string]any{"events": s.events})
+		return
+	}
+	s.finish(causeLate, retryFull)
+}
+
+// finish ends a call that can't be served any further.
+func (s *streamRun) finish(cause string, after time.Duration) {
+	if s.begun {
+		s.abort(cause)
+	}
+	s.fail(cause, after)
+}
+
+// start sends the call on the cheapest path and reports whether that was possible; else it is answered.
+func (s *streamRun) start(ctx context.Context) bool {
+	wait := placeWait
+	if s.begun {
+		wait = resumeWait - time.Since(s.moved)
+	}
+	until := time.Now().Add(wait)
+	for {
+		p, refusal := s.place()
+		if refusal == path.Accepted {
+			s.launch(ctx, p)
+			return true
+		}
+		if !time.Now().Before(until) {
+			after := retryFull
+			if refusal == path.Uncovered {
+				after = retryUncovered
+			}
+			s.finish(string(refusal), after+time.Duration(rand.Float64()*float64(after)))
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			s.ended(ctx)
+			return false
+		case <-time.After(placeRetry):
+		}
+	}
+}
+
+// place chooses a path and charges it.
+func (s *streamRun) place() (path.Path, path.Refusal) {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	now := time.Now()
+	d := s.demand()
+	p, refusal := s.models.Choose(now, d)
+	if refusal == path.Uncovered && len(d.Avoid) > 0 {
+		d.Avoid = nil
+		p, refusal = s.models.Choose(now, d)
+	}
+	if refusal == path.Accepted {
+		s.models.Begin(now, s.call.ID, p, d)
+	}
+	return p, refusal
+}
+
+func (s *streamRun) demand() path.Demand {
+	answer := s.call.Answer
+	if answer <= 0 {
+		answer = s.call.MaxAnswer
+	}
+	if s.call.MaxAnswer > 0 {
+		answer = min(answer, s.call.MaxAnswer)
+	}
+	return path.Demand{Domain: s.f.cfg.Domain, Prompt: s.call.Prompt, Answer: answer, Avoid: s.avoid}
+}
+
+// launch sends the call on a path; its items come in until the sending is cancelled.
+func (s *streamRun) launch(ctx context.Context, p path.Path) {
+	s.cancel()
+	s.attempt++
+	s.path = p
+	ctx, s.cancel = context.WithCancel(ctx)
+	first := p[0]
+	s.f.mu.Lock()
+	e := s.f.byID[first.Worker]
+	s.f.mu.Unlock()
+	e.ID, e.Address = first.Worker, first.Address
+	send := s.send(e, p, s.lastID)
+	s.log("sent", map[string]any{
+		"path": p.String(), "route": s.route.Name, "config": s.version, "sends": s.sends, "after": s.lastID,
+		"prompt": s.call.Prompt, "left_ms": send.Left.Milliseconds(),
+	})
+	go pump(ctx, s.f.cfg.Endpoints, send, s.attempt, s.items)
+}
+
+// pump sends a request and hands what comes back to items.
+func pump(ctx context.Context, endpoints Endpoints, send Send, attempt int, items chan<- item) {
+	put := func(it item) bool {
+		it.attempt = attempt
+		select {
+		case items <- it:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	reply, err := endpoints.Send(ctx, send)
+	if err != nil {
+		put(item{err: err, ended: true})
+		return
+	}
+	defer func() {
+		_ = reply.Body.Close() //nolint:errcheck // the end of the body was seen, or the sending is given up
+	}()
+	if !put(item{reply: reply}) {
+		return
+	}
+	if reply.Status != http.StatusOK || reply.NotRun {
+		return
+	}
+	reader := newEventReader(reply.Body)
+	for {
+		events, err := reader.next()
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+			put(item{err: err, ended: true})
+			return
+		}
+		if !put(item{events: events}) {
+			return
+		}
+	}
+}
+
+// take handles an item and reports whether the call is answered.
+func (s *streamRun) take(ctx context.Context, it item) bool {
+	switch {
+	case it.reply != nil:
+		return s.takeReply(ctx, it.reply)
+	case len(it.events) > 0:
+		return s.takeEvents(ctx, it.events)
+	case it.err != nil:
+		sent := s.f.cfg.Endpoints.Sent(it.err)
+		s.log("attempt failed", map[string]any{"path": s.path.String(), "error": it.err.Error(), "sent": sent, "events": s.events})
+		if s.attemptOpen() {
+			s.sends++
+			if sent {
+				s.runs++
+			}
+		}
+		s.suspect(s.path[0].Worker)
+		if !sent {
+			return !s.startAgain(ctx, causeBroken)
+		}
+		return s.resume(ctx, causeBroken)
+	default:
+		s.log("answered", map[string]any{"events": s.events, "sends": s.sends, "path": s.path.String()})
+		s.f.cfg.Metrics.Answered(s.route.Kind, time.Since(s.call.Received))
+		return true
+	}
+}
+
+// attemptOpen reports whether the sending in progress has not been counted yet.
+func (s *streamRun) attemptOpen() bool { return s.sends < s.attempt }
+
+func (s *streamRun) takeReply(ctx context.Context, reply *Reply) bool {
+	s.sends++
+	if reply.NotRun {
+		fault := reply.Fault
+		s.log("endpoint refused", map[string]any{"path": s.path.String(), "status": reply.Status, "fault": fault})
+		if fault == "" {
+			fault = s.path[0].Address
+		}
+		s.suspect(fault)
+		return s.resume(ctx, causeBusy)
+	}
+	s.runs++
+	if reply.Status != http.StatusOK || !reply.Genuine {
+		return s.takeFailure(ctx, reply)
+	}
+	s.progress()
+	if !s.begun {
+		s.begun = true
+		reply.Length = -1
+		delete(reply.Header, "Content-Length")
+		s.relayHead(reply)
+	}
+	return false
+}
+
+// takeFailure handles an answer that is no stream.
+func (s *streamRun) takeFailure(ctx context.Context, reply *Reply) bool {
+	answer, err := readWhole(reply)
+	fields := map[string]any{"path": s.path.String(), "status": reply.Status}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	s.log("attempt failed", fields)
+	retriable := reply.Status >= serverError || reply.Status < http.StatusMultipleChoices
+	if retriable && s.route.Idempotent() && s.mayRepeat(time.Now()) {
+		s.avoid[s.path[0].Worker] = true
+		return !s.start(ctx)
+	}
+	if s.begun || err != nil || reply.Status < http.StatusMultipleChoices {
+		s.finish(causeBroken, retryFull)
+		return true
+	}
+	s.relay(s.f.endpoint(s.path[0].Worker), answer)
+	return true
+}
+
+func (s *streamRun) takeEvents(ctx context.Context, events []event) bool {
+	s.progress()
+	for _, e := range events {
+		if e.id < 0 {
+			s.numbers = false
+		} else {
+			if s.last >= 0 && e.id <= s.last {
+				continue
+			}
+			if s.numbers && s.last >= 0 && e.id != s.last+1 {
+				s.log("event missing", map[string]any{"last": s.last, "id": e.id})
+				return s.resume(ctx, causeBroken)
+			}
+			s.last, s.lastID = e.id, e.text
+		}
+		if _, err := s.w.Write(e.data); err != nil {
+			s.log("caller left", map[string]any{"events": s.events, "error": err.Error()})
+			return true
+		}
+		s.events++
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		s.log("caller left", map[string]any{"events": s.events, "error": err.Error()})
+		return true
+	}
+	if s.events == len(events) {
+		s.f.cfg.Metrics.First(time.Since(s.call.Received))
+	}
+	return false
+}
+
+func (s *streamRun) progress() {
+	now := time.Now()
+	s.f.mu.Lock()
+	s.models.Progress(now, s.call.ID)
+	s.f.mu.Unlock()
+	s.moved = now
+}
+
+func (s *streamRun) suspect(name string) {
+	s.f.mu.Lock()
+	s.models.Suspect(time.Now(), name)
+	s.f.mu.Unlock()
+}
+
+// recover moves a stream that has fallen silent to other workers: by a detour where its first worker lives,
+// else by resuming it.
+func (s *streamRun) recover(ctx context.Context, st path.Stalled) bool {
+	s.f.mu.Lock()
+	detour := s.models.Detour(time.Now(), s.call.ID, st.Suspects)
+	e := s.f.byID[s.path[0].Worker]
+	s.f.mu.Unlock()
+	names := make([]string, 0, len(st.Suspects))
+	for w := range st.Suspects {
+		names = append(names, w)
+		s.avoid[w] = true
+	}
+	s.log("stream silent", map[string]any{
+		"path": s.path.String(), "suspects": names, "silence_ms": st.Silence.Milliseconds(),
+		"events": s.events, "detour": detour.String(),
+	})
+	if len(detour) > 0 && s.begun {
+		callCtx, cancel := context.WithTimeout(ctx, rerouteTimeout)
+		err := s.f.cfg.Endpoints.Reroute(callCtx, e, s.call.ID, detour)
+		cancel()
+		if err == nil {
+			s.f.mu.Lock()
+			s.models.Reroute(time.Now(), s.call.ID, detour)
+			s.f.mu.Unlock()
+			s.path = detour
+			s.log("stream rerouted", map[string]any{"path": detour.String()})
+			return false
+		}
+		s.log("reroute failed", map[string]any{"error": err.Error()})
+	}
+	if s.attemptOpen() {
+		s.sends++
+		s.runs++
+	}
+	if !s.route.Idempotent() || !s.mayRepeat(time.Now()) {
+		// The sending in progress may still go on.
+		return false
+	}
+	return !s.start(ctx)
+}
+
+// resume sends the call again after the sending in progress ended, or ends the call.
+func (s *streamRun) resume(ctx context.Context, cause string) bool {
+	s.cancel()
+	if s.begun && (!s.route.Idempotent() || !s.numbers) {
+		s.finish(cause, retryFull)
+		return true
+	}
+	if !s.mayRepeat(time.Now()) {
+		s.finish(cause, retryFull)
+		return true
+	}
+	return !s.start(ctx)
+}
+
+// startAgain sends a call again of which nothing was sent; that takes nothing from the budget.
+func (s *streamRun) startAgain(ctx context.Context, cause string) bool {
+	if s.attempt >= maxSends+1 {
+		s.finish(cause, retryFull)
+		return false
+	}
+	return s.start(ctx)
+}
--- /dev/null
+++ b/internal/daemon/placing/doc.go
@@ -0,0 +1,5 @@
+// Package placing carries out the decisions of core/layout: it orders workers to hold layers while this host
+// holds the lease for that.
+//
+// It must not import ingress, endpoint or peer packages.
+package placing
--- /dev/null
+++ b/internal/daemon/placing/placing.go
@@ -0,0 +1,159 @@
+package placing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingplank/internal/core/deployment"
+	"waxwingplank/internal/core/layout"
+)
+
+// Answer is how a worker took an order.
+type Answer string
+
+// The answers to orders.
+const (
+	// Held means that the worker already holds the range.
+	Held Answer = "held"
+	// Begun means that the worker is loading the range.
+	Begun Answer = "begun"
+	// Refused means that the order does not fit the worker's state.
+	Refused Answer = "refused"
+	// Fenced means that another host has acted under a later lease.
+	Fenced Answer = "fenced"
+	// Unanswered means that the order may be carried out, now or later.
+	Unanswered Answer = "unanswered"
+)
+
+// Order tells a worker to hold a range of layers.
+type Order struct {
+	Endpoint deployment.Endpoint
+	Range    deployment.Range
+	Fence    int64
+}
+
+// Endpoints carries orders to workers.
+type Endpoints interface {
+	Place(ctx context.Context, o Order) (Answer, error)
+}
+
+const (
+	orderTimeout = time.Second
+	// reportDelay is how long after a load has ended the worker's entry shows it: a heartbeat, its lag and the
+	// watch.
+	reportDelay = 2500 * time.Millisecond
+	// refusedPause keeps a worker that refuses orders from being asked all the time.
+	refusedPause = time.Second
+)
+
+// Config describes a Placer.
+type Config struct {
+	Endpoints Endpoints
+	Log       logrus.FieldLogger
+	// Held returns the fencing number while this host may order.
+	Held func() (int64, bool)
+	// Lost is called when a worker has seen a later fencing number.
+	Lost func()
+}
+
+// pending is an order that the worker's entry does not show yet.
+type pending struct {
+	endpoint deployment.Endpoint
+	layers   deployment.Range
+	until    time.Time
+}
+
+// Placer orders the layers of all model services.
+type Placer struct {
+	cfg     Config
+	mu      sync.Mutex
+	pending map[string]pending
+	calls   sync.WaitGroup
+}
+
+// New returns a placer.
+func New(cfg Config) *Placer { return &Placer{cfg: cfg, pending: map[string]pending{}} }
+
+// Tick looks at the workers of a service and sends the orders that are due.
+func (p *Placer) Tick(ctx context.Context, now time.Time, svc *deployment.Service, endpoints []deployment.Endpoint) {
+	fence, ok := p.cfg.Held()
+	if !ok || svc.Engine == nil || svc.Engine.Layers == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	workers := make([]layout.Worker, 0, len(endpoints))
+	byID := map[string]deployment.Endpoint{}
+	for _, e := range endpoints {
+		byID[e.ID] = e
+		workers = append(workers, p.worker(now, e))
+	}
+	for _, a := range layout.Plan(svc.Engine, workers) {
+		e := byID[a.Worker]
+		share := float64(a.Range.Len()) / float64(svc.Engine.Layers)
+		queue := max(1, float64(len(p.pending)+1)/float64(max(svc.Engine.LoadsAtOnce, 1)))
+		load := time.Duration(float64(svc.Engine.LoadTime) * share * queue)
+		p.pending[e.ID] = pending{endpoint: e, layers: a.Range, until: now.Add(load + reportDelay)}
+		p.send(ctx, Order{Endpoint: e, Range: a.Range, Fence: fence})
+	}
+}
+
+// worker describes an endpoint to the plan; an order that is under way counts as carried out.
+func (p *Placer) worker(now time.Time, e deployment.Endpoint) layout.Worker {
+	w := layout.Worker{
+		ID: e.ID, Domain: e.Domain, Accelerator: e.Accelerator, Holds: e.Layers,
+		Leaving: e.State != deployment.Ready,
+	}
+	o, ok := p.pending[e.ID]
+	if !ok {
+		return w
+	}
+	shown := e.Layers.Len() > 0 && e.Layers == o.layers
+	if shown || !o.endpoint.Same(e) || !now.Before(o.until) {
+		delete(p.pending, e.ID)
+		return w
+	}
+	w.Busy = true
+	if o.layers.Len() > 0 {
+		w.Holds = o.layers
+	}
+	return w
+}
+
+func (p *Placer) send(ctx context.Context, o Order) {
+	p.calls.Add(1)
+	go func() {
+		defer p.calls.Done()
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		answer, err := p.cfg.Endpoints.Place(ctx, o)
+		log := p.cfg.Log.WithFields(logrus.Fields{
+			"endpoint": o.Endpoint.ID, "from": o.Range.From, "to": o.Range.To, "fence": o.Fence,
+			"answer": string(answer),
+		})
+		if err != nil {
+			log = log.WithError(err)
+		}
+		log.Info("layers ordered")
+		p.answered(o, answer)
+	}()
+}
+
+func (p *Placer) answered(o Order, answer Answer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch answer {
+	case Fenced:
+		delete(p.pending, o.Endpoint.ID)
+		p.cfg.Lost()
+	case Refused:
+		p.pending[o.Endpoint.ID] = pending{endpoint: o.Endpoint, until: time.Now().Add(refusedPause)}
+	case Held, Begun, Unanswered:
+	}
+}
+
+// Wait returns once all orders have been answered or given up.
+func (p *Placer) Wait() { p.calls.Wait() }
