Take peers to have added the load that this host added since they last told

Cause: hosts chose on loads up to half a second old, so all leaned on one domain until its workers were full. Change: a worker's load is extrapolated by what this host added, times the number of peers.

--- a/internal/core/path/choose.go
+++ b/internal/core/path/choose.go
@@ -18,7 +18,7 @@
 	// fullness is the share of a worker's memory up to which new requests are placed; estimates of answers err.
 	fullness = 0.95
 	// crowding weighs how full a worker is against how long its steps take.
-	crowding = 3.0
+	crowding = 6.0
 	// spread is the largest relative change of a worker's cost by chance, so that hosts with the same late
 	// figures do not all pick the same worker.
 	spread = 0.15
@@ -93,7 +93,7 @@
 			if !w.usable(now) || d.Avoid[id] {
 				continue
 			}
-			if w.used+w.peerUsed+d.tokens()*float64(w.holds.Len()) > w.capacity*fullness {
+			if used, _ := w.load(s.peers); used+d.tokens()*float64(w.holds.Len()) > w.capacity*fullness {
 				full = true
 				continue
 			}
@@ -159,14 +159,14 @@
 // layerMs is what one layer costs a request per token that it writes, its prompt included.
 func (s *System) layerMs(w *worker, d Demand) float64 {
 	e := s.engine
-	running := w.running()
+	used, running := w.load(s.peers)
 	context := float64(d.Prompt) / 1000
 	step := e.StepMs + (e.StepMsPerSequence+e.StepMsPerKContext*context)*running
 	cost := w.factors.StepFactor * step
 	if e.ReadTokensPerMs > 0 {
 		cost += float64(d.Prompt) / float64(max(d.Answer, 1)) * w.factors.ReadFactor / e.ReadTokensPerMs
 	}
-	used := (w.used + w.peerUsed) / math.Max(w.capacity, 1)
+	used /= math.Max(w.capacity, 1)
 	cost *= 1 + crowding*used*used
 	cost *= 1 + spread*(2*s.random.Float64()-1)
 	return cost / float64(e.Layers)
--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -73,11 +73,14 @@
 	holds    deployment.Range
 	factors  deployment.Accelerator
 	// capacity is the memory for requests in tokens x layers.
-	capacity     float64
-	used         float64
-	streams      int
-	peerUsed     float64
-	peerStreams  int
+	capacity    float64
+	used        float64
+	streams     int
+	peerUsed    float64
+	peerStreams int
+	// addedUsed and added are what this host has put on the worker since its peers last told their loads.
+	addedUsed    float64
+	added        int
 	suspectUntil time.Time
 	// suspicions in a row without progress lengthen the next one.
 	suspicions int
@@ -88,5 +91,9 @@
 	return w.endpoint.State == deployment.Ready && w.holds.Len() > 0 && !now.Before(w.suspectUntil)
 }
 
-// running returns how many streams of all hosts pass through the worker.
-func (w *worker) running() float64 { return float64(w.streams + w.peerStreams) }
+// load returns the memory taken on the worker and the streams that pass through it, over all hosts. Peers have
+// the same figures and choose alike, so each is taken to have added since it last told what this host has.
+func (w *worker) load(peers int) (context, streams float64) {
+	n := float64(peers)
+	return w.used + w.peerUsed + n*w.addedUsed, float64(w.streams+w.peerStreams) + n*float64(w.added)
+}
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -21,6 +21,7 @@
 	order   []string
 	streams map[string]*stream
 	random  *rand.Rand
+	peers   int
 	gap     average
 	first   average
 }
@@ -89,10 +90,12 @@
 	return out
 }
 
-// SetPeerLoads replaces what the streams of all other hosts put on the workers.
-func (s *System) SetPeerLoads(loads map[string]Load) {
+// SetPeerLoads replaces what the streams of all other hosts, peers in number, put on the workers.
+func (s *System) SetPeerLoads(loads map[string]Load, peers int) {
+	s.peers = peers
 	for id, w := range s.workers {
 		w.peerUsed, w.peerStreams = loads[id].Context, loads[id].Streams
+		w.addedUsed, w.added = 0, 0
 	}
 }
 
@@ -135,6 +138,10 @@
 		}
 		w.used = max(w.used+float64(sign)*d.tokens()*float64(part.Range.Len()), 0)
 		w.streams = max(w.streams+sign, 0)
+		if sign > 0 {
+			w.addedUsed += d.tokens() * float64(part.Range.Len())
+			w.added++
+		}
 	}
 }
 
--- a/internal/daemon/edge/hosts.go
+++ b/internal/daemon/edge/hosts.go
@@ -61,7 +61,7 @@
 	client *exchange.Client
 	store  Store
 	self   func() *exchange.State
-	onLoad func(map[string]path.Load)
+	onLoad func(loads map[string]path.Load, peers int)
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -251,16 +251,18 @@
 
 func (h *hosts) sumLoads(now time.Time) {
 	sum := map[string]path.Load{}
+	peers := 0
 	h.mu.Lock()
 	for _, p := range h.peers {
 		if p.state == nil || now.Sub(p.heard) > hostTimeout {
 			continue
 		}
+		peers++
 		for id, l := range p.state.Loads {
 			t := sum[id]
 			sum[id] = path.Load{Context: t.Context + l.Context, Streams: t.Streams + l.Streams}
 		}
 	}
 	h.mu.Unlock()
-	h.onLoad(sum)
+	h.onLoad(sum, peers)
 }
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -128,11 +128,11 @@
 }
 
 // SetPeerLoads replaces what the streams of other hosts put on the workers.
-func (f *Forwarder) SetPeerLoads(loads map[string]path.Load) {
+func (f *Forwarder) SetPeerLoads(loads map[string]path.Load, peers int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.models {
-		s.SetPeerLoads(loads)
+		s.SetPeerLoads(loads, peers)
 	}
 }
 
