--- a/internal/core/path/silence.go
+++ b/internal/core/path/silence.go
@@ -27,6 +27,8 @@
 	// three heartbeats of about a second.
 	suspicion    = 1500 * time.Millisecond
 	maxSuspicion = 12 * time.Second
+	// maxStallShift keeps the growing limit below the time after which callers give up.
+	maxStallShift = 3
 	// smoothing is the weight of a new sample in an average.
 	smoothing = 0.05
 )
@@ -45,6 +47,8 @@
 	last     time.Time
 	events   int
 	reported bool
+	// stalls counts how often the stream was found silent; each doubles the silence that counts.
+	stalls int
 }
 
 // Stalled tells that a stream is held up, and by which workers it may be.
@@ -110,14 +114,20 @@
 			limit = max(s.first.times(silentFirst), minFirst)
 		}
 		silence := now.Sub(st.last)
+		limit <<= min(st.stalls, maxStallShift)
 		if st.reported || silence < limit {
 			continue
 		}
 		suspects := s.uncleared(st)
+		if len(suspects) == 0 {
+			// Everything on its path moves, so its turn will come; a new path would only add work.
+			continue
+		}
 		if len(suspects) > fewCandidates && silence < loneFactor*limit {
 			continue
 		}
 		st.reported = true
+		st.stalls++
 		out = append(out, Stalled{Stream: id, Suspects: suspects, Silence: silence})
 		if len(suspects) <= fewCandidates {
 			for w := range suspects {
