Leave a fifth of the workers' memory for requests

Change: contextShare from 0.12 to 0.2: about four holders for each layer, each with room for 100 requests.

--- a/internal/core/layout/plan.go
+++ b/internal/core/layout/plan.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// contextShare is the part of a worker's memory that is left for requests. At 900 tokens a request it
-	// holds about 50 requests on each worker, more than the workers' steps can serve within the aims.
-	contextShare = 0.12
+	// contextShare is the part of a worker's memory that is left for requests. At a fifth, each layer is held four
+	// times over, and the loss of a holder leaves room for twice the usual streams.
+	contextShare = 0.2
 	// uncovered, single and spare weigh a layer that no, one or more workers of the domain hold.
 	uncovered = 100.0
 	single    = 6.0
