Try a suspected worker with one stream; move streams before their first event

Change: one stream tries a worker after a suspicion; silent streams are moved before their first event too.

--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -85,10 +85,12 @@
 	// suspicions in a row without progress lengthen the next one.
 	suspicions int
 	progressed time.Time
+	// trial is the stream that tries a worker after a suspicion; others wait for its outcome.
+	trial string
 }
 
 func (w *worker) usable(now time.Time) bool {
-	return w.endpoint.State == deployment.Ready && w.holds.Len() > 0 && !now.Before(w.suspectUntil)
+	return w.endpoint.State == deployment.Ready && w.holds.Len() > 0 && !now.Before(w.suspectUntil) && w.trial == ""
 }
 
 // load returns the memory taken on the worker and the streams that pass through it, over all hosts. Peers have
--- a/internal/core/path/silence.go
+++ b/internal/core/path/silence.go
@@ -73,7 +73,7 @@
 	st.last, st.reported = now, false
 	for _, part := range st.path {
 		if w := s.workers[part.Worker]; w != nil {
-			w.progressed, w.suspicions = now, 0
+			w.progressed, w.suspicions, w.trial = now, 0, ""
 		}
 	}
 }
@@ -87,6 +87,7 @@
 		if now.Before(w.suspectUntil) {
 			return
 		}
+		w.trial = ""
 		w.suspectUntil = now.Add(min(suspicion<<min(w.suspicions, 5), maxSuspicion))
 		w.suspicions++
 		return
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -106,7 +106,7 @@
 func (s *System) Begin(now time.Time, id string, p Path, d Demand) {
 	s.release(id)
 	s.streams[id] = &stream{path: p, demand: d, begun: now, last: now}
-	s.charge(p, d, 1)
+	s.charge(id, p, d, 1)
 }
 
 // Reroute replaces the path of a stream that goes on.
@@ -115,9 +115,9 @@
 	if st == nil {
 		return
 	}
-	s.charge(st.path, st.demand, -1)
+	s.charge(id, st.path, st.demand, -1)
 	st.path, st.last, st.reported = p, now, false
-	s.charge(p, st.demand, 1)
+	s.charge(id, p, st.demand, 1)
 }
 
 // End releases what a stream holds.
@@ -125,17 +125,22 @@
 
 func (s *System) release(id string) {
 	if st := s.streams[id]; st != nil {
-		s.charge(st.path, st.demand, -1)
+		s.charge(id, st.path, st.demand, -1)
 		delete(s.streams, id)
 	}
 }
 
-func (s *System) charge(p Path, d Demand, sign int) {
+func (s *System) charge(id string, p Path, d Demand, sign int) {
 	for _, part := range p {
 		w := s.workers[part.Worker]
 		if w == nil {
 			continue
 		}
+		if sign > 0 && w.suspicions > 0 && w.trial == "" {
+			w.trial = id
+		} else if sign < 0 && w.trial == id {
+			w.trial = ""
+		}
 		w.used = max(w.used+float64(sign)*d.tokens()*float64(part.Range.Len()), 0)
 		w.streams = max(w.streams+sign, 0)
 		if sign > 0 {
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -53,6 +53,9 @@
 	moved   time.Time
 	avoid   map[string]bool
 	events  int
+	// first and gap are the wait for the first event and the longest between two.
+	first time.Duration
+	gap   time.Duration
 }
 
 func (r *run) stream(ctx context.Context) {
@@ -241,7 +244,10 @@
 		}
 		return s.resume(ctx, causeBroken)
 	default:
-		s.log("answered", map[string]any{"events": s.events, "sends": s.sends, "path": s.path.String()})
+		s.log("answered", map[string]any{
+			"events": s.events, "sends": s.sends, "path": s.path.String(),
+			"first_ms": s.first.Milliseconds(), "gap_ms": s.gap.Milliseconds(),
+		})
 		s.f.cfg.Metrics.Answered(s.route.Kind, time.Since(s.call.Received))
 		return true
 	}
@@ -297,6 +303,9 @@
 }
 
 func (s *streamRun) takeEvents(ctx context.Context, events []event) bool {
+	if s.events > 0 {
+		s.gap = max(s.gap, time.Since(s.moved))
+	}
 	s.progress()
 	for _, e := range events {
 		if e.id < 0 {
@@ -322,7 +331,8 @@
 		return true
 	}
 	if s.events == len(events) {
-		s.f.cfg.Metrics.First(time.Since(s.call.Received))
+		s.first = time.Since(s.call.Received)
+		s.f.cfg.Metrics.First(s.first)
 	}
 	return false
 }
@@ -357,7 +367,7 @@
 		"path": s.path.String(), "suspects": names, "silence_ms": st.Silence.Milliseconds(),
 		"events": s.events, "detour": detour.String(),
 	})
-	if len(detour) > 0 && s.begun {
+	if len(detour) > 0 {
 		callCtx, cancel := context.WithTimeout(ctx, rerouteTimeout)
 		err := s.f.cfg.Endpoints.Reroute(callCtx, e, s.call.ID, detour)
 		cancel()
