--- a/internal/core/layout/plan.go
+++ b/internal/core/layout/plan.go
@@ -1,6 +1,7 @@
 package layout
 
 import (
+	"slices"
 	"sort"
 
 	"waxwingplank/internal/core/deployment"
@@ -18,6 +19,9 @@
 	rare = 8.0
 	// aligned favours ranges that begin or end where another does: paths then have fewer parts.
 	aligned = 4.0
+	// leastGain is the number of layers that a move must bring: a move takes a worker out of service for
+	// seconds.
+	leastGain = 2
 )
 
 // Worker is a worker as the plan sees it.
@@ -49,10 +53,26 @@
 	return min(max(n, 0), engine.Layers)
 }
 
-// Plan assigns ranges to the workers that hold nothing, largest first.
+// Cover returns the least number of workers that hold a layer, in each domain and in all of them.
+func Cover(engine *deployment.Engine, workers []Worker) (domains map[string]int, all int) {
+	c := newCover(engine.Layers)
+	for _, w := range workers {
+		if !w.Leaving && !w.Busy && w.Holds.Len() > 0 {
+			c.add(w.Domain, w.Holds)
+		}
+	}
+	domains = map[string]int{}
+	for name, held := range c.domains {
+		domains[name] = slices.Min(held)
+	}
+	return domains, slices.Min(c.all)
+}
+
+// Plan assigns ranges to the workers that hold nothing, largest first, and then moves workers whose layers
+// others of their domain hold too to layers that none of it holds.
 func Plan(engine *deployment.Engine, workers []Worker) []Assignment {
 	c := newCover(engine.Layers)
-	var empty []Worker
+	var empty, settled []Worker
 	for _, w := range workers {
 		if w.Leaving {
 			continue
@@ -64,6 +84,9 @@
 			continue
 		}
 		c.add(w.Domain, w.Holds)
+		if !w.Busy {
+			settled = append(settled, w)
+		}
 	}
 	sort.Slice(empty, func(i, j int) bool {
 		a, b := Capacity(engine, empty[i].Accelerator), Capacity(engine, empty[j].Accelerator)
@@ -82,7 +105,61 @@
 		c.add(w.Domain, r)
 		out = append(out, Assignment{Worker: w.ID, Range: r})
 	}
-	return out
+	return append(out, c.moves(settled)...)
+}
+
+// moves lets workers leave layers that their domain can spare for layers that it lacks. Each move leaves fewer
+// layers without a holder than before, so that the moves come to an end.
+func (c *cover) moves(settled []Worker) []Assignment {
+	sort.Slice(settled, func(i, j int) bool { return settled[i].ID < settled[j].ID })
+	moved := map[string]bool{}
+	var out []Assignment
+	for {
+		var best Assignment
+		var domain string
+		bestGain := 0
+		for _, w := range settled {
+			if moved[w.ID] {
+				continue
+			}
+			before := c.missing(w.Domain)
+			if before == 0 {
+				continue
+			}
+			c.remove(w.Domain, w.Holds)
+			r := c.best(w.Domain, w.Holds.Len())
+			c.add(w.Domain, r)
+			gain := before - c.missing(w.Domain)
+			c.remove(w.Domain, r)
+			c.add(w.Domain, w.Holds)
+			if gain > bestGain {
+				best, bestGain, domain = Assignment{Worker: w.ID, Range: r}, gain, w.Domain
+			}
+		}
+		if bestGain < leastGain {
+			return out
+		}
+		for _, w := range settled {
+			if w.ID == best.Worker {
+				c.remove(domain, w.Holds)
+			}
+		}
+		c.add(domain, best.Range)
+		moved[best.Worker] = true
+		out = append(out, best)
+	}
+}
+
+// missing returns how many layers no worker of the domain holds.
+func (c *cover) missing(domain string) int {
+	held, _ := c.domain(domain)
+	n := 0
+	for _, h := range held {
+		if h == 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // cover counts how often each layer is held, in each domain and in all.
@@ -114,6 +191,14 @@
 	edges[r.From], edges[r.To] = true, true
 }
 
+func (c *cover) remove(domain string, r deployment.Range) {
+	held, _ := c.domain(domain)
+	for l := max(r.From, 0); l < min(r.To, c.layers); l++ {
+		held[l]--
+		c.all[l]--
+	}
+}
+
 // best returns the range of n layers that adds most to the cover of the domain.
 func (c *cover) best(domain string, n int) deployment.Range {
 	held, edges := c.domain(domain)
--- a/internal/daemon/placing/placing.go
+++ b/internal/daemon/placing/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -71,11 +72,14 @@
 	cfg     Config
 	mu      sync.Mutex
 	pending map[string]pending
+	cover   map[string]string
 	calls   sync.WaitGroup
 }
 
 // New returns a placer.
-func New(cfg Config) *Placer { return &Placer{cfg: cfg, pending: map[string]pending{}} }
+func New(cfg Config) *Placer {
+	return &Placer{cfg: cfg, pending: map[string]pending{}, cover: map[string]string{}}
+}
 
 // Tick looks at the workers of a service and sends the orders that are due.
 func (p *Placer) Tick(ctx context.Context, now time.Time, svc *deployment.Service, endpoints []deployment.Endpoint) {
@@ -91,6 +95,7 @@
 		byID[e.ID] = e
 		workers = append(workers, p.worker(now, e))
 	}
+	p.logCover(svc, workers)
 	for _, a := range layout.Plan(svc.Engine, workers) {
 		e := byID[a.Worker]
 		share := float64(a.Range.Len()) / float64(svc.Engine.Layers)
@@ -101,6 +106,19 @@
 	}
 }
 
+// logCover writes a line when the number of holders of the rarest layers has changed.
+func (p *Placer) logCover(svc *deployment.Service, workers []layout.Worker) {
+	domains, all := layout.Cover(svc.Engine, workers)
+	text := fmt.Sprintf("%v %d", domains, all)
+	if p.cover[svc.Name] == text {
+		return
+	}
+	p.cover[svc.Name] = text
+	p.cfg.Log.WithFields(logrus.Fields{
+		"service": svc.Name, "domains": domains, "all": all, "workers": len(workers), "pending": len(p.pending),
+	}).Info("least cover of a layer changed")
+}
+
 // worker describes an endpoint to the plan; an order that is under way counts as carried out.
 func (p *Placer) worker(now time.Time, e deployment.Endpoint) layout.Worker {
 	w := layout.Worker{
