--- a/internal/core/layout/plan.go
+++ b/internal/core/layout/plan.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"waxwingplank/internal/core/deployment"
 )
@@ -11,6 +12,8 @@
 	// contextShare is the part of a worker's memory that is left for requests. At a fifth, each layer is held four
 	// times over, and the loss of a holder leaves room for twice the usual streams.
 	contextShare = 0.2
+	// leastShare is what is left for requests where a worker closes a gap; below it, it holds up the others.
+	leastShare = 0.1
 	// uncovered, single and spare weigh a layer that no, one or more workers of the domain hold.
 	uncovered = 100.0
 	single    = 6.0
@@ -19,6 +22,11 @@
 	rare = 8.0
 	// aligned favours ranges that begin or end where another does: paths then have fewer parts.
 	aligned = 4.0
+	// handoverWait is how long an empty worker is kept for a worker that leaves: in a release the new one starts
+	// about a second before the old one begins to drain.
+	handoverWait = 1500 * time.Millisecond
+	// returnWait is how long a domain lacks layers before others move: a crashed worker is often back soon.
+	returnWait = 1200 * time.Millisecond
 	// leastGain is the number of layers that a move must bring: a move takes a worker out of service for
 	// seconds.
 	leastGain = 2
@@ -45,11 +53,14 @@
 
 // Capacity returns how many layers a worker holds beside the memory for requests.
 func Capacity(engine *deployment.Engine, accelerator string) int {
-	size := engine.Accelerator(accelerator).SizeMB
+	return layersWithin(engine, accelerator, 1-contextShare)
+}
+
+func layersWithin(engine *deployment.Engine, accelerator string, share float64) int {
 	if engine.LayerMB <= 0 {
 		return 0
 	}
-	n := int(size * (1 - contextShare) / engine.LayerMB)
+	n := int(engine.Accelerator(accelerator).SizeMB * share / engine.LayerMB)
 	return min(max(n, 0), engine.Layers)
 }
 
@@ -68,26 +79,38 @@
 	return domains, slices.Min(c.all)
 }
 
-// Plan assigns ranges to the workers that hold nothing, largest first, and then moves workers whose layers
-// others of their domain hold too to layers that none of it holds.
-func Plan(engine *deployment.Engine, workers []Worker) []Assignment {
+// System plans the layers of one service. It remembers since when workers have been empty and domains have
+// lacked layers.
+type System struct {
+	empty map[string]time.Time
+	gaps  map[string]time.Time
+}
+
+// New returns a system that has seen nothing.
+func New() *System {
+	return &System{empty: map[string]time.Time{}, gaps: map[string]time.Time{}}
+}
+
+// Tick assigns ranges to the workers that hold nothing, largest first. Where a domain still lacks layers,
+// neighbours take some more, and after a while workers leave layers that the domain can spare.
+func (s *System) Tick(now time.Time, engine *deployment.Engine, workers []Worker) []Assignment {
 	c := newCover(engine.Layers)
 	var empty, settled []Worker
 	for _, w := range workers {
 		if w.Leaving {
 			continue
 		}
-		if w.Holds.Len() == 0 {
+		c.domain(w.Domain)
+		if w.Holds.Len() > 0 {
+			c.add(w.Domain, w.Holds)
 			if !w.Busy {
-				empty = append(empty, w)
+				settled = append(settled, w)
 			}
-			continue
-		}
-		c.add(w.Domain, w.Holds)
-		if !w.Busy {
-			settled = append(settled, w)
+		} else if !w.Busy {
+			empty = append(empty, w)
 		}
 	}
+	s.note(now, c, empty)
 	sort.Slice(empty, func(i, j int) bool {
 		a, b := Capacity(engine, empty[i].Accelerator), Capacity(engine, empty[j].Accelerator)
 		if a != b {
@@ -98,14 +121,108 @@
 	var out []Assignment
 	for _, w := range empty {
 		n := Capacity(engine, w.Accelerator)
-		if n == 0 {
+		if n == 0 || (c.missing(w.Domain) == 0 && now.Sub(s.empty[w.ID]) < handoverWait) {
 			continue
 		}
 		r := c.best(w.Domain, n)
 		c.add(w.Domain, r)
 		out = append(out, Assignment{Worker: w.ID, Range: r})
 	}
-	return append(out, c.moves(settled)...)
+	out = append(out, c.extensions(engine, settled)...)
+	var movable []Worker
+	for _, w := range settled {
+		since, lacking := s.gaps[w.Domain]
+		if lacking && now.Sub(since) >= returnWait && !assigned(out, w.ID) {
+			movable = append(movable, w)
+		}
+	}
+	return append(out, c.moves(movable)...)
+}
+
+// note remembers what is empty or lacking for the first time and forgets what no longer is.
+func (s *System) note(now time.Time, c *cover, empty []Worker) {
+	isEmpty := map[string]bool{}
+	for _, w := range empty {
+		isEmpty[w.ID] = true
+		if _, ok := s.empty[w.ID]; !ok {
+			s.empty[w.ID] = now
+		}
+	}
+	for id := range s.empty {
+		if !isEmpty[id] {
+			delete(s.empty, id)
+		}
+	}
+	for domain := range c.domains {
+		if c.missing(domain) == 0 {
+			delete(s.gaps, domain)
+		} else if _, ok := s.gaps[domain]; !ok {
+			s.gaps[domain] = now
+		}
+	}
+}
+
+func assigned(out []Assignment, worker string) bool {
+	return slices.ContainsFunc(out, func(a Assignment) bool { return a.Worker == worker })
+}
+
+// extensions closes gaps by neighbours that take some layers more, from their memory for requests. That is
+// quick: only the new layers are loaded and none are given up. A gap that they can't close whole is left.
+func (c *cover) extensions(engine *deployment.Engine, settled []Worker) []Assignment {
+	var out []Assignment
+	for domain, held := range c.domains {
+		for from := 0; from < c.layers; from++ {
+			if held[from] > 0 {
+				continue
+			}
+			to := from
+			for to < c.layers && held[to] == 0 {
+				to++
+			}
+			out = append(out, c.closing(engine, settled, domain, deployment.Range{From: from, To: to}, out)...)
+			from = to
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Worker < out[j].Worker })
+	return out
+}
+
+// closing returns the one or two extensions that close a gap, or none.
+func (c *cover) closing(engine *deployment.Engine, settled []Worker, domain string, gap deployment.Range, used []Assignment) []Assignment {
+	var left, right *Worker
+	roomLeft, roomRight := 0, 0
+	for i := range settled {
+		w := &settled[i]
+		if w.Domain != domain || assigned(used, w.ID) {
+			continue
+		}
+		room := layersWithin(engine, w.Accelerator, 1-leastShare) - w.Holds.Len()
+		if w.Holds.To == gap.From && room > roomLeft {
+			left, roomLeft = w, room
+		}
+		if w.Holds.From == gap.To && room > roomRight {
+			right, roomRight = w, room
+		}
+	}
+	if roomLeft+roomRight < gap.Len() {
+		return nil
+	}
+	var out []Assignment
+	cut := min(gap.From+roomLeft, gap.To)
+	if roomRight > 0 && roomLeft > 0 {
+		cut = min(gap.From+min(roomLeft, max(gap.Len()/2, gap.Len()-roomRight)), gap.To)
+	}
+	if cut > gap.From {
+		r := deployment.Range{From: left.Holds.From, To: cut}
+		out = append(out, Assignment{Worker: left.ID, Range: r})
+		c.add(domain, deployment.Range{From: gap.From, To: cut})
+	}
+	if cut < gap.To {
+		r := deployment.Range{From: cut, To: right.Holds.To}
+		out = append(out, Assignment{Worker: right.ID, Range: r})
+		c.add(domain, deployment.Range{From: cut, To: gap.To})
+	}
+	return out
 }
 
 // moves lets workers leave layers that their domain can spare for layers that it lacks. Each move leaves fewer
--- a/internal/daemon/placing/placing.go
+++ b/internal/daemon/placing/placing.go
@@ -46,6 +46,8 @@
 	// reportDelay is how long after a load has ended the worker's entry shows it: a heartbeat, its lag and the
 	// watch.
 	reportDelay = 2500 * time.Millisecond
+	// handoverTime is how long a worker that gives up layers waits for the streams that pass through them.
+	handoverTime = 4 * time.Second
 	// refusedPause keeps a worker that refuses orders from being asked all the time.
 	refusedPause = time.Second
 )
@@ -73,12 +75,13 @@
 	mu      sync.Mutex
 	pending map[string]pending
 	cover   map[string]string
+	plans   map[string]*layout.System
 	calls   sync.WaitGroup
 }
 
 // New returns a placer.
 func New(cfg Config) *Placer {
-	return &Placer{cfg: cfg, pending: map[string]pending{}, cover: map[string]string{}}
+	return &Placer{cfg: cfg, pending: map[string]pending{}, cover: map[string]string{}, plans: map[string]*layout.System{}}
 }
 
 // Tick looks at the workers of a service and sends the orders that are due.
@@ -96,16 +99,26 @@
 		workers = append(workers, p.worker(now, e))
 	}
 	p.logCover(svc, workers)
-	for _, a := range layout.Plan(svc.Engine, workers) {
+	for _, a := range p.plan(svc.Name).Tick(now, svc.Engine, workers) {
 		e := byID[a.Worker]
 		share := float64(a.Range.Len()) / float64(svc.Engine.Layers)
 		queue := max(1, float64(len(p.pending)+1)/float64(max(svc.Engine.LoadsAtOnce, 1)))
 		load := time.Duration(float64(svc.Engine.LoadTime) * share * queue)
+		if e.Layers.Len() > 0 {
+			load += handoverTime
+		}
 		p.pending[e.ID] = pending{endpoint: e, layers: a.Range, until: now.Add(load + reportDelay)}
 		p.send(ctx, Order{Endpoint: e, Range: a.Range, Fence: fence})
 	}
 }
 
+func (p *Placer) plan(service string) *layout.System {
+	if p.plans[service] == nil {
+		p.plans[service] = layout.New()
+	}
+	return p.plans[service]
+}
+
 // logCover writes a line when the number of holders of the rarest layers has changed.
 func (p *Placer) logCover(svc *deployment.Service, workers []layout.Worker) {
 	domains, all := layout.Cover(svc.Engine, workers)
