Give links between domains a capacity and let paths cross them while there is room

Change: the cost of a crossing follows from the link's speed and its use; moves wait 5 s, as they take about 8 s.

--- a/internal/core/layout/plan.go
+++ b/internal/core/layout/plan.go
@@ -25,8 +25,9 @@
 	// handoverWait is how long an empty worker is kept for a worker that leaves: in a release the new one starts
 	// about a second before the old one begins to drain.
 	handoverWait = 1500 * time.Millisecond
-	// returnWait is how long a domain lacks layers before others move: a crashed worker is often back soon.
-	returnWait = 1200 * time.Millisecond
+	// returnWait is how long a domain lacks layers before others move: a crashed worker is often back within
+	// that, a move takes about as long, and meanwhile paths lead through other domains.
+	returnWait = 5 * time.Second
 	// leastGain is the number of layers that a move must bring: a move takes a worker out of service for
 	// seconds.
 	leastGain = 2
--- a/internal/core/path/choose.go
+++ b/internal/core/path/choose.go
@@ -10,9 +10,6 @@
 const (
 	// hopMs is the time for a token to pass from one worker to the next within a failure domain.
 	hopMs = 0.3
-	// crossMs is charged per token for each change of the failure domain. The links between domains carry about
-	// 40 prompts of usual size a second, so paths use them only where a domain can't cover its layers itself.
-	crossMs = 6.0
 	// awayMs is charged per token where the first worker lies in another domain than the host.
 	awayMs = 0.5
 	// fullness is the share of a worker's memory up to which new requests are placed; estimates of answers err.
@@ -45,6 +42,7 @@
 func (s *System) between(now time.Time, d Demand, span deployment.Range, first string) (Path, Refusal) {
 	workers, full := s.candidates(now, d, first)
 	cuts := cutsOf(workers, span)
+	links := s.links(now, workers, d)
 	steps := make([][]holder, 0, len(cuts))
 	costs := make([]float64, len(workers))
 	for i, w := range workers {
@@ -62,13 +60,15 @@
 				h.cost = s.entryMs(w, d)
 			} else {
 				for k, p := range steps[i-1] {
-					if c := p.cost + s.changeMs(p.worker, w); c < h.cost {
+					if c := p.cost + links.changeMs(p.worker, w); c < h.cost {
 						h.cost, h.from = c, k
 					}
 				}
 			}
 			h.cost += costs[j] * float64(segment.Len())
-			step = append(step, h)
+			if !math.IsInf(h.cost, 1) {
+				step = append(step, h)
+			}
 		}
 		if len(step) == 0 {
 			if full {
@@ -179,12 +179,28 @@
 	return 0
 }
 
-func (s *System) changeMs(a, b *worker) float64 {
+// links holds the cost of each change of the domain.
+type links map[pair]float64
+
+func (s *System) links(now time.Time, workers []*worker, d Demand) links {
+	out := links{}
+	for _, a := range workers {
+		for _, b := range workers {
+			key := pairOf(a.endpoint.Domain, b.endpoint.Domain)
+			if _, ok := out[key]; !ok {
+				out[key] = s.crossMs(now, key.a, key.b, d)
+			}
+		}
+	}
+	return out
+}
+
+func (l links) changeMs(a, b *worker) float64 {
 	switch {
 	case a == b:
 		return 0
 	case a.endpoint.Domain != b.endpoint.Domain:
-		return crossMs
+		return l[pairOf(a.endpoint.Domain, b.endpoint.Domain)]
 	default:
 		return hopMs
 	}
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -22,6 +22,7 @@
 	streams map[string]*stream
 	random  *rand.Rand
 	peers   int
+	pipes   map[pair]*pipe
 	gap     average
 	first   average
 }
@@ -31,6 +32,7 @@
 	return &System{
 		workers: map[string]*worker{},
 		streams: map[string]*stream{},
+		pipes:   map[pair]*pipe{},
 		random:  rand.New(rand.NewSource(cfg.Seed)),
 		gap:     average{value: float64(usualGap)},
 		first:   average{value: float64(usualFirst)},
@@ -107,6 +109,7 @@
 	s.release(id)
 	s.streams[id] = &stream{path: p, demand: d, begun: now, last: now}
 	s.charge(id, p, d, 1)
+	s.transfer(now, p, d)
 }
 
 // Reroute replaces the path of a stream that goes on.
@@ -118,6 +121,7 @@
 	s.charge(id, st.path, st.demand, -1)
 	st.path, st.last, st.reported = p, now, false
 	s.charge(id, p, st.demand, 1)
+	s.transfer(now, p, st.demand)
 }
 
 // End releases what a stream holds.
--- a/internal/daemon/edge/view.go
+++ b/internal/daemon/edge/view.go
@@ -124,7 +124,7 @@
 		v.endpoints = append(v.endpoints, e)
 		old, known := before[e.ID]
 		delete(before, e.ID)
-		if !known || old.State != e.State || !old.Same(e) {
+		if !known || old != e {
 			v.log.WithFields(logrus.Fields{
 				"endpoint": e.ID, "address": e.Address, "state": string(e.State), "source": source,
 				"revision": snapshot.Revision, "layers": e.Layers,
