Let progress clear a suspicion, charge failing workers, count prompts still to be read

Change: a worker through which events pass is not suspected; where no path is left suspects are tried; the share of failed sends and the prompts still to be read add to a worker's cost.

--- a/internal/core/path/choose.go
+++ b/internal/core/path/choose.go
@@ -16,6 +16,10 @@
 	fullness = 0.95
 	// crowding weighs how full a worker is against how long its steps take.
 	crowding = 6.0
+	// failing makes a worker that fails every request five times as dear.
+	failing = 4.0
+	// waitWeight makes waiting for the first event dearer than the same time spread over all events.
+	waitWeight = 4.0
 	// spread is the largest relative change of a worker's cost by chance, so that hosts with the same late
 	// figures do not all pick the same worker.
 	spread = 0.15
@@ -28,7 +32,14 @@
 	if s.engine == nil {
 		return nil, Uncovered
 	}
-	return s.between(now, d, deployment.Range{From: 0, To: s.engine.Layers}, "")
+	span := deployment.Range{From: 0, To: s.engine.Layers}
+	p, refusal := s.between(now, d, span, "")
+	if refusal == Uncovered {
+		// A suspicion may be wrong; where no other worker holds the layers it is tried.
+		d.trust = true
+		p, refusal = s.between(now, d, span, "")
+	}
+	return p, refusal
 }
 
 // holder is a worker that can run a segment, with the cheapest way to it.
@@ -45,8 +56,9 @@
 	links := s.links(now, workers, d)
 	steps := make([][]holder, 0, len(cuts))
 	costs := make([]float64, len(workers))
+	waits := make([]float64, len(workers))
 	for i, w := range workers {
-		costs[i] = s.layerMs(w, d)
+		costs[i], waits[i] = s.layerMs(w, d), s.waitMs(now, w, d)
 	}
 	for i := 0; i+1 < len(cuts); i++ {
 		segment := deployment.Range{From: cuts[i], To: cuts[i+1]}
@@ -57,10 +69,14 @@
 			}
 			h := holder{worker: w, cost: math.Inf(1), from: -1}
 			if i == 0 {
-				h.cost = s.entryMs(w, d)
+				h.cost = s.entryMs(w, d) + waits[j]
 			} else {
 				for k, p := range steps[i-1] {
-					if c := p.cost + links.changeMs(p.worker, w); c < h.cost {
+					c := p.cost
+					if p.worker != w {
+						c += links.changeMs(p.worker, w) + waits[j]
+					}
+					if c < h.cost {
 						h.cost, h.from = c, k
 					}
 				}
@@ -90,7 +106,7 @@
 	for _, id := range s.order {
 		w := s.workers[id]
 		if id != first {
-			if !w.usable(now) || d.Avoid[id] {
+			if (!w.usable(now) && !(d.trust && w.serving())) || d.Avoid[id] {
 				continue
 			}
 			if used, _ := w.load(s.peers); used+d.tokens()*float64(w.holds.Len()) > w.capacity*fullness {
@@ -168,6 +184,7 @@
 	}
 	used /= math.Max(w.capacity, 1)
 	cost *= 1 + crowding*used*used
+	cost *= 1 + failing*w.failures
 	cost *= 1 + spread*(2*s.random.Float64()-1)
 	return cost / float64(e.Layers)
 }
@@ -179,6 +196,11 @@
 	return 0
 }
 
+// waitMs is what the prompts that a worker has yet to read cost a request, per token that it writes.
+func (s *System) waitMs(now time.Time, w *worker, d Demand) float64 {
+	return waitWeight * w.waiting(now) * float64(s.peers+1) / float64(max(d.Answer, 1))
+}
+
 // links holds the cost of each change of the domain.
 type links map[pair]float64
 
--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -50,6 +50,8 @@
 	Answer int
 	// Avoid names workers that must not be on the path.
 	Avoid map[string]bool
+	// trust lets suspected workers onto the path.
+	trust bool
 }
 
 func (d Demand) tokens() float64 { return float64(d.Prompt + d.Answer) }
@@ -82,15 +84,32 @@
 	addedUsed    float64
 	added        int
 	suspectUntil time.Time
+	suspectedAt  time.Time
 	// suspicions in a row without progress lengthen the next one.
 	suspicions int
 	progressed time.Time
+	// failures is the smoothed share of sends to the worker that failed.
+	failures float64
+	// backlog is the time in ms that the worker still needs for the prompts that this host gave it, at the time
+	// backlogAt.
+	backlog   float64
+	backlogAt time.Time
 	// trial is the stream that tries a worker after a suspicion; others wait for its outcome.
 	trial string
 }
 
 func (w *worker) usable(now time.Time) bool {
-	return w.endpoint.State == deployment.Ready && w.holds.Len() > 0 && !now.Before(w.suspectUntil) && w.trial == ""
+	return w.serving() && !now.Before(w.suspectUntil) && w.trial == ""
+}
+
+// serving reports whether the worker says that it takes requests.
+func (w *worker) serving() bool {
+	return w.endpoint.State == deployment.Ready && w.holds.Len() > 0
+}
+
+// waiting returns the worker's backlog at a time.
+func (w *worker) waiting(now time.Time) float64 {
+	return max(w.backlog-float64(now.Sub(w.backlogAt))/float64(time.Millisecond), 0)
 }
 
 // load returns the memory taken on the worker and the streams that pass through it, over all hosts. Peers have
--- a/internal/core/path/silence.go
+++ b/internal/core/path/silence.go
@@ -29,6 +29,10 @@
 	maxSuspicion = 12 * time.Second
 	// maxStallShift keeps the growing limit below the time after which callers give up.
 	maxStallShift = 3
+	// failureSmoothing is the weight of the newest request in a worker's share of failures.
+	failureSmoothing = 0.1
+	// sharedSilence is the part of the silence that counts for streams through a worker that is suspected already.
+	sharedSilence = 0.6
 	// smoothing is the weight of a new sample in an average.
 	smoothing = 0.05
 )
@@ -73,7 +77,11 @@
 	st.last, st.reported = now, false
 	for _, part := range st.path {
 		if w := s.workers[part.Worker]; w != nil {
-			w.progressed, w.suspicions, w.trial = now, 0, ""
+			if now.Before(w.suspectUntil) && now.Sub(w.suspectedAt) < clearance {
+				// Events that were under way when the worker fell silent prove nothing.
+				continue
+			}
+			w.progressed, w.suspicions, w.trial, w.suspectUntil = now, 0, "", time.Time{}
 		}
 	}
 }
@@ -87,13 +95,27 @@
 		if now.Before(w.suspectUntil) {
 			return
 		}
-		w.trial = ""
+		w.trial, w.suspectedAt = "", now
 		w.suspectUntil = now.Add(min(suspicion<<min(w.suspicions, 5), maxSuspicion))
 		w.suspicions++
 		return
 	}
 }
 
+// Sent notes whether a worker answered a request that was sent to it. One that fails part of its requests is
+// used less, however many others it serves.
+func (s *System) Sent(id string, answered bool) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	failed := 1.0
+	if answered {
+		failed = 0
+	}
+	w.failures += failureSmoothing * (failed - w.failures)
+}
+
 // Suspected returns the workers that are left out of new paths now.
 func (s *System) Suspected(now time.Time) []string {
 	var out []string
@@ -115,6 +137,9 @@
 			limit = max(s.first.times(silentFirst), minFirst)
 		}
 		silence := now.Sub(st.last)
+		if st.events > 0 && s.throughSuspect(now, st) {
+			limit = time.Duration(float64(limit) * sharedSilence)
+		}
 		limit <<= min(st.stalls, maxStallShift)
 		if st.reported || silence < limit {
 			continue
@@ -141,6 +166,16 @@
 	return out
 }
 
+// throughSuspect reports whether a worker of the stream's path is suspected.
+func (s *System) throughSuspect(now time.Time, st *stream) bool {
+	for _, part := range st.path {
+		if w := s.workers[part.Worker]; w == nil || now.Before(w.suspectUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // uncleared returns the workers of a silent stream through which nothing has passed since it fell silent.
 func (s *System) uncleared(st *stream) map[string]bool {
 	out := map[string]bool{}
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -109,6 +109,7 @@
 	s.release(id)
 	s.streams[id] = &stream{path: p, demand: d, begun: now, last: now}
 	s.charge(id, p, d, 1)
+	s.read(now, nil, p, d)
 	s.transfer(now, p, d)
 }
 
@@ -119,11 +120,29 @@
 		return
 	}
 	s.charge(id, st.path, st.demand, -1)
+	old := st.path
 	st.path, st.last, st.reported = p, now, false
 	s.charge(id, p, st.demand, 1)
+	s.read(now, old, p, st.demand)
 	s.transfer(now, p, st.demand)
 }
 
+// read adds the reading of a prompt to the backlog of the workers that are new on a path.
+func (s *System) read(now time.Time, old, p Path, d Demand) {
+	if s.engine.ReadTokensPerMs <= 0 {
+		return
+	}
+	for _, part := range p {
+		w := s.workers[part.Worker]
+		if w == nil || slices.Contains(old, part) {
+			continue
+		}
+		share := float64(part.Range.Len()) / float64(s.engine.Layers)
+		w.backlog = w.waiting(now) + float64(d.Prompt)*share*w.factors.ReadFactor/s.engine.ReadTokensPerMs
+		w.backlogAt = now
+	}
+}
+
 // End releases what a stream holds.
 func (s *System) End(id string) { s.release(id) }
 
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -238,6 +238,7 @@
 				s.runs++
 			}
 		}
+		s.sentTo(s.path[0].Worker, false)
 		s.suspect(s.path[0].Worker)
 		if !sent {
 			return !s.startAgain(ctx, causeBroken)
@@ -272,6 +273,7 @@
 		return s.takeFailure(ctx, reply)
 	}
 	s.progress()
+	s.sentTo(s.path[0].Worker, true)
 	if !s.begun {
 		s.begun = true
 		reply.Length = -1
@@ -289,6 +291,7 @@
 		fields["error"] = err.Error()
 	}
 	s.log("attempt failed", fields)
+	s.sentTo(s.path[0].Worker, false)
 	retriable := reply.Status >= serverError || reply.Status < http.StatusMultipleChoices
 	if retriable && s.route.Idempotent() && s.mayRepeat(time.Now()) {
 		s.avoid[s.path[0].Worker] = true
@@ -345,6 +348,13 @@
 	s.moved = now
 }
 
+// sentTo notes whether a worker answered a request as it should.
+func (s *streamRun) sentTo(worker string, answered bool) {
+	s.f.mu.Lock()
+	s.models.Sent(worker, answered)
+	s.f.mu.Unlock()
+}
+
 func (s *streamRun) suspect(name string) {
 	s.f.mu.Lock()
 	s.models.Suspect(time.Now(), name)
