Reload settings on SIGHUP and on change; spend fewer calls on hosts and leases

Change: settings are reloaded; hosts are found at the start and by their own messages; two hosts try for the lease.

--- a/cmd/waxwingplankd/main.go
+++ b/cmd/waxwingplankd/main.go
@@ -56,7 +56,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := daemon.Run(ctx); err != nil {
+	return exitCode(daemon.Run(ctx))
+}
+
+// exitCode prints an error and returns the code with which the process ends.
+func exitCode(err error) int {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
@@ -83,9 +88,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := daemon.Run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
-	}
-	return 0
+	daemon.WatchSettings(ctx, opts.Settings)
+	return exitCode(daemon.Run(ctx))
 }
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -1,6 +1,7 @@
 package path
 
 import (
+	"math"
 	"math/rand"
 	"slices"
 	"time"
@@ -77,8 +78,8 @@
 // Load is what streams put on one worker.
 type Load struct {
 	// Context is the memory that they take, in tokens x layers.
-	Context float64 `json:"context"`
-	Streams int     `json:"streams"`
+	Context float64 `json:"c"`
+	Streams int     `json:"n"`
 }
 
 // Loads returns what the streams of this host put on each worker.
@@ -86,7 +87,7 @@
 	out := map[string]Load{}
 	for id, w := range s.workers {
 		if w.streams > 0 {
-			out[id] = Load{Context: w.used, Streams: w.streams}
+			out[id] = Load{Context: math.Round(w.used), Streams: w.streams}
 		}
 	}
 	return out
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -28,8 +28,8 @@
 
 const (
 	// watchWait and watchMargin bound how long a silent connection to the store holds up a change: with the rest
-	// below, 2.4 s, within the stability window after which a host must have caught up.
-	watchWait   = 1900 * time.Millisecond
+	// below, 2.8 s, within the stability window after which a host must have caught up.
+	watchWait   = 2300 * time.Millisecond
 	watchMargin = 400 * time.Millisecond
 	// endpointRest collects the changes of many endpoints into one call.
 	endpointRest = 150 * time.Millisecond
@@ -106,6 +106,9 @@
 	placer    *placing.Placer
 	keeper    *leases.Keeper
 	leaving   atomic.Bool
+
+	settingsMu sync.Mutex
+	settings   Settings
 }
 
 // decisions writes the forwarder's decisions to the journal.
@@ -122,7 +125,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "edge.New")
 	}
-	d := &Daemon{cfg: cfg, log: j.Log(), started: time.Now().UnixNano(), metrics: forward.NewMetrics()}
+	d := &Daemon{cfg: cfg, log: j.Log(), started: time.Now().UnixNano(), metrics: forward.NewMetrics(), settings: cfg.Settings}
 	d.forwarder = forward.New(forward.Config{
 		Endpoints: cfg.Workers, Log: decisions{j}, Metrics: d.metrics, Domain: cfg.Settings.file.FailureDomain,
 		Budget: cfg.Settings.budget(), Seed: rand.Int63(),
@@ -156,7 +159,7 @@
 // Run serves until ctx ends, then lets open requests finish within the grace period.
 func (d *Daemon) Run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(d.cfg.Settings.file.MemoryMB) * memoryShare * (1 << 20)))
+	debug.SetMemoryLimit(d.current().memoryLimit())
 	d.log.WithField("started", d.started).Info("host starts")
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
@@ -169,7 +172,7 @@
 	for _, part := range []func(context.Context){
 		d.follower(d.cfg.Platform.ConfigKind(), configRest, 0, d.view.configChanged).Run,
 		d.follower(d.cfg.Platform.EndpointsKind(), endpointRest, lapseReturn, d.view.endpointsChanged).Run,
-		d.follower(kindHosts, endpointRest, 0, d.hosts.changed).Run,
+		d.hosts.discover, d.stand,
 		func(ctx context.Context) { d.hosts.announce(ctx, d.started) },
 		d.hosts.run, d.watchStreams, d.place, d.keeper.Run,
 	} {
@@ -179,7 +182,6 @@
 			part(background)
 		}()
 	}
-	d.keeper.Hold(leasePlacing)
 	<-ctx.Done()
 	d.leave(background, servers)
 	d.log.Info("host stops")
@@ -198,6 +200,28 @@
 	every(ctx, stallPeriod, func() { d.forwarder.Tick(time.Now()) })
 }
 
+// stand tries for the lease while this host is among those that should.
+func (d *Daemon) stand(ctx context.Context) {
+	standing := false
+	every(ctx, tellPeriod, func() {
+		now := time.Now()
+		may := d.view.known() && d.hosts.mayLead(d.state(now), now)
+		if _, held := d.keeper.Held(leasePlacing); held && !d.leaving.Load() {
+			// A lease that works is kept, whoever else may have come.
+			may = true
+		}
+		if may == standing {
+			return
+		}
+		standing = may
+		if may {
+			d.keeper.Hold(leasePlacing)
+		} else {
+			d.keeper.Release(leasePlacing)
+		}
+	})
+}
+
 // place orders layers while this host holds the lease.
 func (d *Daemon) place(ctx context.Context) {
 	defer d.placer.Wait()
@@ -262,7 +286,7 @@
 	for _, s := range d.hosts.up(time.Now()) {
 		out = append(out, s.Callers)
 	}
-	return out, min(directoryTTL, seconds(d.cfg.Settings.file.DirectoryTTLMaxS))
+	return out, min(directoryTTL, seconds(d.current().file.DirectoryTTLMaxS))
 }
 
 // servers are the listeners that are closed one after the other.
--- a/internal/daemon/edge/hosts.go
+++ b/internal/daemon/edge/hosts.go
@@ -13,7 +13,6 @@
 
 	"waxwingplank/internal/core/path"
 	"waxwingplank/internal/core/storage"
-	"waxwingplank/internal/daemon/follow"
 	"waxwingplank/internal/peer/exchange"
 )
 
@@ -33,6 +32,12 @@
 	// unansweredPause spaces the messages to hosts that have not answered for long, such as removed ones.
 	unansweredPause = 2 * time.Second
 	callTimeout     = 700 * time.Millisecond
+	// discoverPeriod is for hosts that could not tell each other when they started.
+	discoverPeriod = 20 * time.Second
+	// leaders is how many hosts try for a lease: one holds it, one stands by.
+	leaders = 2
+	// reachesStore is the age of a host's list of endpoints above which it does not reach the store.
+	reachesStore = 4 * time.Second
 )
 
 // hostRecord is a host's object in the store.
@@ -105,12 +110,26 @@
 	return eris.Wrap(err, "edge.hosts write")
 }
 
-// changed takes the hosts' records from the store.
-func (h *hosts) changed(s follow.State) {
-	if !s.Changed {
-		return
+// discover reads the hosts' records, once soon and then rarely: a host that starts tells all others itself.
+func (h *hosts) discover(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := discoverPeriod
+		if err := h.readRecords(ctx); err != nil {
+			h.log.WithError(err).Warn("host records not read")
+			wait = tellPeriod
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func (h *hosts) readRecords(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	objects, _, err := h.store.List(ctx, kindHosts)
+	if err != nil {
+		return err
 	}
-	for _, o := range s.Objects {
+	for _, o := range objects {
 		var r hostRecord
 		if err := json.Unmarshal(o.Value, &r); err != nil {
 			h.log.WithError(err).WithField("host", o.Name).Warn("host record not read")
@@ -118,6 +137,19 @@
 		}
 		h.add(r.Peers)
 	}
+	return nil
+}
+
+// mayLead reports whether this host is among the few that try for a duty: the first by name of those that take
+// calls and reach the store. Hosts that can't see each other may all try; the store lets one win.
+func (h *hosts) mayLead(self *exchange.State, now time.Time) bool {
+	before := 0
+	for _, s := range h.up(now) {
+		if s.Host < self.Host && s.AgeMs < reachesStore.Milliseconds() {
+			before++
+		}
+	}
+	return before < leaders && !self.Leaving
 }
 
 func (h *hosts) add(address string) {
@@ -175,6 +207,10 @@
 	defer h.mu.Unlock()
 	var out []*peer
 	for _, p := range h.peers {
+		// One side of each pair tells, and hears in the answer; the other only if it has not heard for long.
+		if h.cfg.file.Peers > p.address && now.Sub(p.heard) < 2*tellPeriod {
+			continue
+		}
 		if p.busy || (now.Sub(p.heard) > unansweredPause && now.Sub(p.asked) < unansweredPause) {
 			continue
 		}
--- a/internal/daemon/edge/leave.go
+++ b/internal/daemon/edge/leave.go
@@ -18,7 +18,7 @@
 // ends once its requests have ended or the grace period is over.
 func (d *Daemon) leave(ctx context.Context, s *servers) {
 	began := time.Now()
-	grace := d.cfg.Settings.grace()
+	grace := d.current().grace()
 	d.leaving.Store(true)
 	d.log.WithField("running", d.forwarder.Running()).Info("host leaves")
 	told, cancel := context.WithTimeout(ctx, tellTimeout)
--- /dev/null
+++ b/internal/daemon/edge/reload.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// settingsPeriod is the time between two looks at the settings file, which may change without a signal.
+const settingsPeriod = 3 * time.Second
+
+// reloadable names the settings that take effect without a restart.
+var reloadable = map[string]bool{
+	"seed_addresses": true, "memory_mb": true, "budget": true, "directory_ttl_max_s": true, "grace_s": true,
+}
+
+// WatchSettings reloads the settings file on SIGHUP and when it changes, until ctx ends. The signal is caught
+// from the call on, so that it never ends the process.
+func (d *Daemon) WatchSettings(ctx context.Context, name string) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hangup)
+		ticker := time.NewTicker(settingsPeriod)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangup:
+			case <-ticker.C:
+			}
+			set, err := LoadSettings(name)
+			if err != nil {
+				d.log.WithError(err).Error("settings not reloaded")
+				continue
+			}
+			d.Reload(set)
+		}
+	}()
+}
+
+// Reload puts changed settings in force and logs which of them need a restart.
+func (d *Daemon) Reload(set Settings) {
+	d.settingsMu.Lock()
+	defer d.settingsMu.Unlock()
+	applied, restart := changedFields(d.settings.file, set.file)
+	if len(applied)+len(restart) == 0 {
+		return
+	}
+	for _, seed := range set.file.Seeds {
+		d.hosts.add(seed)
+	}
+	debug.SetMemoryLimit(set.memoryLimit())
+	d.forwarder.SetBudget(set.budget())
+	d.settings = set
+	d.log.WithFields(logrus.Fields{"applied": applied, "needs_restart": restart}).Info("settings reloaded")
+}
+
+// changedFields returns the names of the fields that differ, by whether they take effect at once.
+func changedFields(before, after settingsFile) (applied, restart []string) {
+	a, b := reflect.ValueOf(before), reflect.ValueOf(after)
+	for i := range a.NumField() {
+		if reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			continue
+		}
+		name, _, _ := strings.Cut(a.Type().Field(i).Tag.Get("json"), ",")
+		if reloadable[name] {
+			applied = append(applied, name)
+		} else {
+			restart = append(restart, name)
+		}
+	}
+	return applied, restart
+}
+
+// current returns the settings in force.
+func (d *Daemon) current() Settings {
+	d.settingsMu.Lock()
+	defer d.settingsMu.Unlock()
+	return d.settings
+}
--- a/internal/daemon/edge/settings.go
+++ b/internal/daemon/edge/settings.go
@@ -103,6 +103,11 @@
 
 func (s Settings) grace() time.Duration { return seconds(s.file.GraceS) }
 
+// memoryLimit is the soft limit of the heap; the rest is for stacks, buffers of the system and the program.
+func (s Settings) memoryLimit() int64 {
+	return int64(float64(s.file.MemoryMB) * memoryShare * (1 << 20))
+}
+
 func (s Settings) budget() retry.Config {
 	return retry.Config{Window: seconds(s.file.Budget.WindowS), Ratio: s.file.Budget.Ratio, Slack: s.file.Budget.Slack}
 }
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -100,6 +100,19 @@
 	f.hosts = n
 }
 
+// SetBudget changes the budget of repeats.
+func (f *Forwarder) SetBudget(cfg retry.Config) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cfg.Budget == cfg {
+		return
+	}
+	f.cfg.Budget = cfg
+	for name := range f.budgets {
+		f.budgets[name] = retry.NewBudget(cfg)
+	}
+}
+
 // SetRefusing makes the forwarder refuse new calls, as a host that is about to stop does.
 func (f *Forwarder) SetRefusing() {
 	f.mu.Lock()
