--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -85,6 +85,10 @@
 	added        int
 	suspectUntil time.Time
 	suspectedAt  time.Time
+	// refusedUntil is how long a worker that turned requests away is left out. It may still serve earlier ones,
+	// so that their events say nothing.
+	refusedUntil time.Time
+	refusals     int
 	// suspicions in a row without progress lengthen the next one.
 	suspicions int
 	progressed time.Time
@@ -99,7 +103,7 @@
 }
 
 func (w *worker) usable(now time.Time) bool {
-	return w.serving() && !now.Before(w.suspectUntil) && w.trial == ""
+	return w.serving() && !now.Before(w.suspectUntil) && !now.Before(w.refusedUntil) && w.trial == ""
 }
 
 // serving reports whether the worker says that it takes requests.
--- a/internal/core/path/silence.go
+++ b/internal/core/path/silence.go
@@ -31,6 +31,10 @@
 	maxStallShift = 3
 	// failureSmoothing is the weight of the newest request in a worker's share of failures.
 	failureSmoothing = 0.1
+	// refusal is how long a worker that turned a request away is left out at first: short of memory, it has room
+	// again once a stream has ended; leaving, it does not come back.
+	refusal         = 500 * time.Millisecond
+	maxRefusalShift = 5
 	// sharedSilence is the part of the silence that counts for streams through a worker that is suspected already.
 	sharedSilence = 0.6
 	// smoothing is the weight of a new sample in an average.
@@ -75,13 +79,20 @@
 	}
 	st.events++
 	st.last, st.reported = now, false
+	newest := st.events == 1
 	for _, part := range st.path {
 		if w := s.workers[part.Worker]; w != nil {
+			if newest && !st.begun.Before(w.refusedUntil) {
+				w.refusals = 0
+			}
 			if now.Before(w.suspectUntil) && now.Sub(w.suspectedAt) < clearance {
 				// Events that were under way when the worker fell silent prove nothing.
 				continue
 			}
-			w.progressed, w.suspicions, w.trial, w.suspectUntil = now, 0, "", time.Time{}
+			w.progressed, w.suspicions, w.suspectUntil = now, 0, time.Time{}
+			if w.refusals == 0 {
+				w.trial = ""
+			}
 		}
 	}
 }
@@ -116,6 +127,18 @@
 	w.failures += failureSmoothing * (failed - w.failures)
 }
 
+// Refused leaves a worker that turned a request away out of new paths for a while; it is named by its address.
+func (s *System) Refused(now time.Time, address string) {
+	for _, w := range s.workers {
+		if w.endpoint.Address != address || now.Before(w.refusedUntil) {
+			continue
+		}
+		w.trial = ""
+		w.refusedUntil = now.Add(min(refusal<<min(w.refusals, maxRefusalShift), maxSuspicion))
+		w.refusals++
+	}
+}
+
 // Suspected returns the workers that are left out of new paths now.
 func (s *System) Suspected(now time.Time) []string {
 	var out []string
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -160,7 +160,7 @@
 		if w == nil {
 			continue
 		}
-		if sign > 0 && w.suspicions > 0 && w.trial == "" {
+		if sign > 0 && w.suspicions+w.refusals > 0 && w.trial == "" {
 			w.trial = id
 		} else if sign < 0 && w.trial == id {
 			w.trial = ""
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -265,7 +265,9 @@
 		if fault == "" {
 			fault = s.path[0].Address
 		}
-		s.suspect(fault)
+		s.f.mu.Lock()
+		s.models.Refused(time.Now(), fault)
+		s.f.mu.Unlock()
 		return s.resume(ctx, causeBusy)
 	}
 	s.runs++
