--- a/internal/core/path/choose.go
+++ b/internal/core/path/choose.go
@@ -33,15 +33,23 @@
 		return nil, Uncovered
 	}
 	span := deployment.Range{From: 0, To: s.engine.Layers}
-	p, refusal := s.between(now, d, span, "")
+	p, refusal := s.between(now, d, span)
 	if refusal == Uncovered {
 		// A suspicion may be wrong; where no other worker holds the layers it is tried.
 		d.trust = true
-		p, refusal = s.between(now, d, span, "")
+		p, refusal = s.between(now, d, span)
 	}
 	return p, refusal
 }
 
+// candidate is a worker that may be on a path, with its costs for the request.
+type candidate struct {
+	worker *worker
+	// layerMs is the cost of each of its layers, waitMs that of waiting for its turn, per token.
+	layerMs float64
+	waitMs  float64
+}
+
 // holder is a worker that can run a segment, with the cheapest way to it.
 type holder struct {
 	worker *worker
@@ -49,45 +57,21 @@
 	from   int
 }
 
-// between returns the cheapest path over a range of layers; first, if not empty, must run the first of them.
-func (s *System) between(now time.Time, d Demand, span deployment.Range, first string) (Path, Refusal) {
-	workers, full := s.candidates(now, d, first)
-	cuts := cutsOf(workers, span)
-	links := s.links(now, workers, d)
+// between returns the cheapest path over a range of layers.
+func (s *System) between(now time.Time, d Demand, span deployment.Range) (Path, Refusal) {
+	candidates, full := s.candidates(now, d)
+	cuts := cutsOf(candidates, span)
+	l := s.links(now, candidates, d)
 	steps := make([][]holder, 0, len(cuts))
-	costs := make([]float64, len(workers))
-	waits := make([]float64, len(workers))
-	for i, w := range workers {
-		costs[i], waits[i] = s.layerMs(w, d), s.waitMs(now, w, d)
-	}
 	for i := 0; i+1 < len(cuts); i++ {
 		segment := deployment.Range{From: cuts[i], To: cuts[i+1]}
-		var step []holder
-		for j, w := range workers {
-			if w.holds.From > segment.From || w.holds.To < segment.To || (i == 0 && first != "" && w.endpoint.ID != first) {
-				continue
-			}
-			h := holder{worker: w, cost: math.Inf(1), from: -1}
-			if i == 0 {
-				h.cost = s.entryMs(w, d) + waits[j]
-			} else {
-				for k, p := range steps[i-1] {
-					c := p.cost
-					if p.worker != w {
-						c += links.changeMs(p.worker, w) + waits[j]
-					}
-					if c < h.cost {
-						h.cost, h.from = c, k
-					}
-				}
-			}
-			h.cost += costs[j] * float64(segment.Len())
-			if !math.IsInf(h.cost, 1) {
-				step = append(step, h)
-			}
+		var before []holder
+		if i > 0 {
+			before = steps[i-1]
 		}
+		step, held := s.step(candidates, before, segment, l, d)
 		if len(step) == 0 {
-			if full {
+			if full || held {
 				return nil, Full
 			}
 			return nil, Uncovered
@@ -101,30 +85,57 @@
 	return p, Accepted
 }
 
+// step returns the holders of a segment with the cheapest ways to them, and whether any worker holds it at all.
+func (s *System) step(candidates []candidate, before []holder, segment deployment.Range, l links, d Demand) (out []holder, held bool) {
+	for _, c := range candidates {
+		if c.worker.holds.From > segment.From || c.worker.holds.To < segment.To {
+			continue
+		}
+		held = true
+		h := holder{worker: c.worker, cost: math.Inf(1), from: -1}
+		if len(before) == 0 {
+			h.cost = s.entryMs(c.worker, d) + c.waitMs
+		}
+		for k, p := range before {
+			cost := p.cost
+			if p.worker != c.worker {
+				cost += l.changeMs(p.worker, c.worker) + c.waitMs
+			}
+			if cost < h.cost {
+				h.cost, h.from = cost, k
+			}
+		}
+		if math.IsInf(h.cost, 1) {
+			continue
+		}
+		h.cost += c.layerMs * float64(segment.Len())
+		out = append(out, h)
+	}
+	return out, held
+}
+
 // candidates returns the workers that may be on the path, and whether any was left out for want of memory.
-func (s *System) candidates(now time.Time, d Demand, first string) (out []*worker, full bool) {
+func (s *System) candidates(now time.Time, d Demand) (out []candidate, full bool) {
 	for _, id := range s.order {
 		w := s.workers[id]
-		if id != first {
-			if (!w.usable(now) && !(d.trust && w.serving())) || d.Avoid[id] {
-				continue
-			}
-			if used, _ := w.load(s.peers); used+d.tokens()*float64(w.holds.Len()) > w.capacity*fullness {
-				full = true
-				continue
-			}
+		if d.Avoid[id] || !w.serving() || (!d.trust && !w.usable(now)) {
+			continue
+		}
+		if used, _ := w.load(s.peers); used+d.tokens()*float64(w.holds.Len()) > w.capacity*fullness {
+			full = true
+			continue
 		}
-		out = append(out, w)
+		out = append(out, candidate{worker: w, layerMs: s.layerMs(w, d), waitMs: s.waitMs(now, w, d)})
 	}
 	return out, full
 }
 
 // cutsOf returns the layers at which the holder may change, in order.
-func cutsOf(workers []*worker, span deployment.Range) []int {
+func cutsOf(candidates []candidate, span deployment.Range) []int {
 	at := make([]bool, span.To+1)
 	at[span.From], at[span.To] = true, true
-	for _, w := range workers {
-		for _, l := range [2]int{w.holds.From, w.holds.To} {
+	for _, c := range candidates {
+		for _, l := range [2]int{c.worker.holds.From, c.worker.holds.To} {
 			if span.Contains(l) {
 				at[l] = true
 			}
@@ -204,11 +215,11 @@
 // links holds the cost of each change of the domain.
 type links map[pair]float64
 
-func (s *System) links(now time.Time, workers []*worker, d Demand) links {
+func (s *System) links(now time.Time, candidates []candidate, d Demand) links {
 	out := links{}
-	for _, a := range workers {
-		for _, b := range workers {
-			key := pairOf(a.endpoint.Domain, b.endpoint.Domain)
+	for _, a := range candidates {
+		for _, b := range candidates {
+			key := pairOf(a.worker.endpoint.Domain, b.worker.endpoint.Domain)
 			if _, ok := out[key]; !ok {
 				out[key] = s.crossMs(now, key.a, key.b, d)
 			}
--- a/internal/core/path/silence.go
+++ b/internal/core/path/silence.go
@@ -252,7 +252,7 @@
 			span.To = st.path[i].Range.To
 			i++
 		}
-		filled, refusal := s.between(now, d, span, "")
+		filled, refusal := s.between(now, d, span)
 		if refusal != Accepted {
 			return nil
 		}
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"math/rand"
@@ -98,6 +99,7 @@
 type Daemon struct {
 	cfg       Config
 	log       *logrus.Entry
+	lines     *journal.Async
 	started   int64
 	forwarder *forward.Forwarder
 	metrics   *forward.Metrics
@@ -121,11 +123,12 @@
 
 // New returns a daemon; it serves while Run runs.
 func New(cfg Config) (*Daemon, error) {
-	j, err := journal.New(journal.Config{Writer: cfg.Log, Level: cfg.Settings.file.LogLevel, Host: table.HostID(cfg.Settings.file.Host)})
+	lines := journal.NewAsync(cfg.Log)
+	j, err := journal.New(journal.Config{Writer: lines, Level: cfg.Settings.file.LogLevel, Host: table.HostID(cfg.Settings.file.Host)})
 	if err != nil {
 		return nil, eris.Wrap(err, "edge.New")
 	}
-	d := &Daemon{cfg: cfg, log: j.Log(), started: time.Now().UnixNano(), metrics: forward.NewMetrics(), settings: cfg.Settings}
+	d := &Daemon{lines: lines, cfg: cfg, log: j.Log(), started: time.Now().UnixNano(), metrics: forward.NewMetrics(), settings: cfg.Settings}
 	d.forwarder = forward.New(forward.Config{
 		Endpoints: cfg.Workers, Log: decisions{j}, Metrics: d.metrics, Domain: cfg.Settings.file.FailureDomain,
 		Budget: cfg.Settings.budget(), Seed: rand.Int63(),
@@ -136,7 +139,7 @@
 	}
 	d.hosts = &hosts{
 		cfg: cfg.Settings, log: d.log, view: d.view, client: exchange.NewClient(tellTimeout), store: cfg.Store,
-		self: func() *exchange.State { return d.state(time.Now()) }, onLoad: d.forwarder.SetPeerLoads, peers: map[string]*peer{},
+		self: func() *exchange.State { return d.state(time.Now()) }, onLoad: d.forwarder.SetPeerLoads, onMarks: d.takeMarks, peers: map[string]*peer{},
 	}
 	for _, seed := range cfg.Settings.file.Seeds {
 		d.hosts.add(seed)
@@ -161,6 +164,15 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(d.current().memoryLimit())
 	d.log.WithField("started", d.started).Info("host starts")
+	logging, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
+	var logged sync.WaitGroup
+	logged.Add(1)
+	go func() {
+		defer logged.Done()
+		d.lines.Run(logging)
+	}()
+	defer logged.Wait()
+	defer stopLogging()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
 	defer parts.Wait()
@@ -263,6 +275,13 @@
 		Host: f.Host, Domain: f.FailureDomain, Callers: f.Callers, Peers: f.Peers, Started: d.started,
 		Serving: d.ready(), Leaving: d.leaving.Load(), Loads: d.forwarder.Loads(),
 	}
+	if marks := d.forwarder.Marks(); len(marks) > 0 {
+		raw, err := json.Marshal(marks)
+		if err != nil {
+			d.log.WithError(err).Error("crash marks not told")
+		}
+		s.Marks = raw
+	}
 	d.view.tell(s, now)
 	s.Want = s.AgeMs > staleAfter.Milliseconds()
 	return s
@@ -277,6 +296,16 @@
 	return s, nil
 }
 
+// takeMarks takes in the crash marks that a peer told.
+func (d *Daemon) takeMarks(raw json.RawMessage) {
+	var marks []forward.Mark
+	if err := json.Unmarshal(raw, &marks); err != nil {
+		d.log.WithError(err).Warn("peer's crash marks not read")
+		return
+	}
+	d.forwarder.AddMarks(marks)
+}
+
 // addresses answers callers that ask where to connect.
 func (d *Daemon) addresses(string) ([]string, time.Duration) {
 	var out []string
@@ -321,7 +350,13 @@
 		f.Metrics:   http.HandlerFunc(d.writeMetrics),
 	} {
 		srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		if err := serve(srv, address); err != nil {
+		err := serve(srv, address)
+		if err != nil && address == f.Metrics {
+			// Callers are served all the same.
+			d.log.WithError(err).Error("metrics not served")
+			continue
+		}
+		if err != nil {
 			return nil, err
 		}
 		s.others = append(s.others, srv)
--- a/internal/daemon/edge/hosts.go
+++ b/internal/daemon/edge/hosts.go
@@ -60,13 +60,14 @@
 
 // hosts knows the other hosts of the deployment.
 type hosts struct {
-	cfg    Settings
-	log    logrus.FieldLogger
-	view   *view
-	client *exchange.Client
-	store  Store
-	self   func() *exchange.State
-	onLoad func(loads map[string]path.Load, peers int)
+	cfg     Settings
+	log     logrus.FieldLogger
+	view    *view
+	client  *exchange.Client
+	store   Store
+	self    func() *exchange.State
+	onMarks func(json.RawMessage)
+	onLoad  func(loads map[string]path.Load, peers int)
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -250,6 +251,9 @@
 	if !wasUp || before.Started != s.Started || before.Leaving != s.Leaving {
 		h.log.WithFields(logrus.Fields{"peer": s.Host, "serving": s.Serving, "leaving": s.Leaving, "started": s.Started}).Info("peer changed")
 	}
+	if len(s.Marks) > 0 {
+		h.onMarks(s.Marks)
+	}
 	if len(s.Config) > 0 {
 		h.view.setConfig(s.Config, "peer")
 	}
--- a/internal/daemon/edge/settings.go
+++ b/internal/daemon/edge/settings.go
@@ -69,8 +69,12 @@
 		}
 	}
 	for _, a := range []struct{ field, value string }{
-		{"callers_address", f.Callers}, {"readiness_address", f.Readiness}, {"directory_address", f.Directory},
-		{"peers_address", f.Peers}, {"metrics_address", f.Metrics}, {"store_address", f.Store},
+		{"callers_address", f.Callers},
+		{"readiness_address", f.Readiness},
+		{"directory_address", f.Directory},
+		{"peers_address", f.Peers},
+		{"metrics_address", f.Metrics},
+		{"store_address", f.Store},
 	} {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
 			return parsed.Fault(a.field, fmt.Sprintf("%q is no address with a port", a.value))
@@ -85,8 +89,12 @@
 		field string
 		value float64
 	}{
-		{"memory_mb", float64(f.MemoryMB)}, {"max_descriptors", float64(f.MaxDescriptors)}, {"grace_s", f.GraceS},
-		{"drain_ms", f.DrainMs}, {"config_apply_ms", f.ConfigApplyMs}, {"budget.window_s", f.Budget.WindowS},
+		{"memory_mb", float64(f.MemoryMB)},
+		{"max_descriptors", float64(f.MaxDescriptors)},
+		{"grace_s", f.GraceS},
+		{"drain_ms", f.DrainMs},
+		{"config_apply_ms", f.ConfigApplyMs},
+		{"budget.window_s", f.Budget.WindowS},
 		{"directory_ttl_max_s", f.DirectoryTTLMaxS},
 	} {
 		if n.value <= 0 {
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -37,6 +37,7 @@
 	hosts    int
 	byID     map[string]deployment.Endpoint
 	refusing bool
+	crashes  *crashes
 }
 
 // New returns a forwarder without a configuration.
@@ -44,7 +45,7 @@
 	return &Forwarder{
 		cfg: cfg, hosts: 1,
 		models: map[string]*path.System{}, plain: map[string]*balance.System{},
-		budgets: map[string]*retry.Budget{}, runs: map[string]*run{}, byID: map[string]deployment.Endpoint{},
+		budgets: map[string]*retry.Budget{}, runs: map[string]*run{}, byID: map[string]deployment.Endpoint{}, crashes: newCrashes(),
 	}
 }
 
@@ -73,10 +74,12 @@
 func (f *Forwarder) SetEndpoints(list []deployment.Endpoint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.byID
 	f.byID = make(map[string]deployment.Endpoint, len(list))
 	for _, e := range list {
 		f.byID[e.ID] = e
 	}
+	f.noteCrashes(before, f.byID)
 	f.spreadEndpoints()
 }
 
@@ -177,6 +180,10 @@
 	if !r.readBody(ctx) {
 		return
 	}
+	if r.crashesEndpoints() {
+		r.refuse(refusal{cause: causeCrashes, after: retryCrashing})
+		return
+	}
 	if r.models != nil {
 		r.stream(ctx)
 		return
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -46,7 +46,7 @@
 		r.balance.Done(time.Now(), e.ID, result)
 		r.f.mu.Unlock()
 		if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			r.log("caller left", map[string]any{"endpoint": e.ID})
+			r.log("caller left", map[string]any{fieldEndpoint: e.ID})
 			return
 		}
 		if answer != nil {
@@ -77,12 +77,12 @@
 }
 
 func (r *run) logFailure(e deployment.Endpoint, result balance.Result, answer *whole, err error) {
-	fields := map[string]any{"endpoint": e.ID, "address": e.Address, "result": string(result), "sends": r.sends}
+	fields := map[string]any{fieldEndpoint: e.ID, "address": e.Address, "result": string(result), fieldSends: r.sends}
 	if err != nil {
-		fields["error"] = err.Error()
+		fields[fieldError] = err.Error()
 	}
 	if answer != nil {
-		fields["status"] = answer.reply.Status
+		fields[fieldStatus] = answer.reply.Status
 	}
 	r.log("attempt failed", fields)
 }
@@ -95,8 +95,11 @@
 		defer cancel()
 	}
 	r.log("sent", map[string]any{
-		"endpoint": e.ID, "address": e.Address, "route": r.route.Name, "config": r.version, "sends": r.sends,
+		fieldEndpoint: e.ID, "address": e.Address, "route": r.route.Name, "config": r.version, fieldSends: r.sends,
 	})
+	r.begins(e.ID)
+	failed := true
+	defer func() { r.ends(failed) }()
 	reply, err := r.f.cfg.Endpoints.Send(ctx, r.send(e, nil, r.call.ResumeAfter))
 	if err != nil {
 		if !r.f.cfg.Endpoints.Sent(err) {
@@ -111,6 +114,7 @@
 		r.runs++
 	}
 	answer, err := readWhole(reply)
+	failed = err != nil
 	switch {
 	case reply.NotRun:
 		return answer, balance.Refused, err
@@ -150,7 +154,7 @@
 func (r *run) relay(e deployment.Endpoint, answer *whole) {
 	defer func() {
 		if err := answer.reply.Body.Close(); err != nil {
-			r.log("endpoint lost", map[string]any{"error": err.Error()})
+			r.log("endpoint lost", map[string]any{fieldError: err.Error()})
 		}
 	}()
 	if answer.rest == nil && answer.reply.Length < 0 {
@@ -164,6 +168,6 @@
 	if _, err := io.Copy(r.w, body); err != nil {
 		r.abort(causeBroken)
 	}
-	r.log("answered", map[string]any{"endpoint": e.ID, "status": answer.reply.Status, "sends": r.sends})
+	r.log("answered", map[string]any{fieldEndpoint: e.ID, fieldStatus: answer.reply.Status, fieldSends: r.sends})
 	r.f.cfg.Metrics.Answered(r.route.Kind, time.Since(r.call.Received))
 }
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -13,6 +13,7 @@
 	"waxwingplank/internal/core/balance"
 	"waxwingplank/internal/core/deployment"
 	"waxwingplank/internal/core/path"
+	"waxwingplank/internal/core/quarantine"
 	"waxwingplank/internal/core/retry"
 )
 
@@ -28,6 +29,8 @@
 	retryStarting = 300 * time.Millisecond
 	// retryElsewhere is told to callers of a host that is leaving; they need only pick another.
 	retryElsewhere = 20 * time.Millisecond
+	// retryCrashing is told to callers whose request crashes endpoints: it will be refused for minutes.
+	retryCrashing = time.Minute
 	// retrySoon is told to callers of a plain service whose endpoints are all taken.
 	retrySoon = 200 * time.Millisecond
 )
@@ -40,6 +43,7 @@
 	causeNoService = "unknown_service"
 	causeTooLarge  = "body_too_large"
 	causeLeaving   = "host_leaving"
+	causeCrashes   = "crashes_endpoints"
 	causeBody      = "body_not_read"
 	causeNone      = "no_endpoint"
 	causeBusy      = "endpoints_refused"
@@ -72,6 +76,9 @@
 	// sends counts all sends, runs those after which the request may have run.
 	sends int
 	runs  int
+	// print identifies the request's content, attempts counts the attempts that were told to the quarantine.
+	print    quarantine.Fingerprint
+	attempts int
 }
 
 // readBody keeps a short body; a long one is passed on as it comes.
@@ -84,7 +91,7 @@
 		return true
 	}
 	if err := http.NewResponseController(r.w).SetReadDeadline(r.until); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		r.log("body failed", map[string]any{"error": err.Error()})
+		r.log("body failed", map[string]any{fieldError: err.Error()})
 	}
 	body, err := io.ReadAll(io.LimitReader(r.call.Body, maxBuffered+1))
 	if err != nil {
@@ -149,7 +156,7 @@
 
 // answer gives an answer of this host's own.
 func (r *run) answer(status int, cause string) {
-	fields := map[string]any{"status": status, "cause": cause, "sends": r.sends, "runs": r.runs}
+	fields := map[string]any{fieldStatus: status, "cause": cause, fieldSends: r.sends, "runs": r.runs}
 	if r.route != nil {
 		fields["route"], fields["config"] = r.route.Name, r.version
 	}
@@ -161,7 +168,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	r.w.WriteHeader(status)
 	if _, err := io.WriteString(r.w, text); err != nil {
-		r.log("caller lost", map[string]any{"error": err.Error()})
+		r.log("caller lost", map[string]any{fieldError: err.Error()})
 	}
 }
 
@@ -187,7 +194,7 @@
 
 // abort closes the caller's connection, so that an answer cut short can't be taken for a whole one.
 func (r *run) abort(cause string) {
-	r.log("answer cut short", map[string]any{"cause": cause, "sends": r.sends, "runs": r.runs})
+	r.log("answer cut short", map[string]any{"cause": cause, fieldSends: r.sends, "runs": r.runs})
 	r.f.cfg.Metrics.Aborted(cause)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -66,7 +66,13 @@
 	if n, err := strconv.ParseInt(s.lastID, 10, 64); err == nil {
 		s.last = n
 	}
-	defer func() { s.cancel() }()
+	completed := false
+	defer func() {
+		s.cancel()
+		if s.attempt > 0 {
+			s.ends(!completed)
+		}
+	}()
 	if !s.start(ctx) {
 		return
 	}
@@ -74,6 +80,7 @@
 		select {
 		case it := <-s.items:
 			if it.attempt == s.attempt && s.take(ctx, it) {
+				completed = it.ended && it.err == nil
 				return
 			}
 		case st := <-r.stalled:
@@ -90,7 +97,7 @@
 // ended answers a call whose time is up or whose caller has left.
 func (s *streamRun) ended(ctx context.Context) {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		s.log("caller left", map[string]any{"events": s.events})
+		s.log("caller left", map[string]any{fieldEvents: s.events})
 		return
 	}
 	s.finish(causeLate, retryFull)
@@ -165,6 +172,9 @@
 // launch sends the call on a path; its items come in until the sending is cancelled.
 func (s *streamRun) launch(ctx context.Context, p path.Path) {
 	s.cancel()
+	if s.attempt > 0 {
+		s.ends(true)
+	}
 	s.attempt++
 	s.path = p
 	ctx, s.cancel = context.WithCancel(ctx)
@@ -175,9 +185,10 @@
 	e.ID, e.Address = first.Worker, first.Address
 	send := s.send(e, p, s.lastID)
 	s.log("sent", map[string]any{
-		"path": p.String(), "route": s.route.Name, "config": s.version, "sends": s.sends, "after": s.lastID,
+		fieldPath: p.String(), "route": s.route.Name, "config": s.version, fieldSends: s.sends, "after": s.lastID,
 		"prompt": s.call.Prompt, "left_ms": send.Left.Milliseconds(),
 	})
+	s.begins(workersOf(p)...)
 	go pump(ctx, s.f.cfg.Endpoints, send, s.attempt, s.items)
 }
 
@@ -231,7 +242,7 @@
 		return s.takeEvents(ctx, it.events)
 	case it.err != nil:
 		sent := s.f.cfg.Endpoints.Sent(it.err)
-		s.log("attempt failed", map[string]any{"path": s.path.String(), "error": it.err.Error(), "sent": sent, "events": s.events})
+		s.log("attempt failed", map[string]any{fieldPath: s.path.String(), fieldError: it.err.Error(), "sent": sent, fieldEvents: s.events})
 		if s.attemptOpen() {
 			s.sends++
 			if sent {
@@ -246,7 +257,7 @@
 		return s.resume(ctx, causeBroken)
 	default:
 		s.log("answered", map[string]any{
-			"events": s.events, "sends": s.sends, "path": s.path.String(),
+			fieldEvents: s.events, fieldSends: s.sends, fieldPath: s.path.String(),
 			"first_ms": s.first.Milliseconds(), "gap_ms": s.gap.Milliseconds(),
 		})
 		s.f.cfg.Metrics.Answered(s.route.Kind, time.Since(s.call.Received))
@@ -261,7 +272,7 @@
 	s.sends++
 	if reply.NotRun {
 		fault := reply.Fault
-		s.log("endpoint refused", map[string]any{"path": s.path.String(), "status": reply.Status, "fault": fault})
+		s.log("endpoint refused", map[string]any{fieldPath: s.path.String(), fieldStatus: reply.Status, "fault": fault})
 		if fault == "" {
 			fault = s.path[0].Address
 		}
@@ -288,9 +299,9 @@
 // takeFailure handles an answer that is no stream.
 func (s *streamRun) takeFailure(ctx context.Context, reply *Reply) bool {
 	answer, err := readWhole(reply)
-	fields := map[string]any{"path": s.path.String(), "status": reply.Status}
+	fields := map[string]any{fieldPath: s.path.String(), fieldStatus: reply.Status}
 	if err != nil {
-		fields["error"] = err.Error()
+		fields[fieldError] = err.Error()
 	}
 	s.log("attempt failed", fields)
 	s.sentTo(s.path[0].Worker, false)
@@ -326,13 +337,13 @@
 			s.last, s.lastID = e.id, e.text
 		}
 		if _, err := s.w.Write(e.data); err != nil {
-			s.log("caller left", map[string]any{"events": s.events, "error": err.Error()})
+			s.log("caller left", map[string]any{fieldEvents: s.events, fieldError: err.Error()})
 			return true
 		}
 		s.events++
 	}
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
-		s.log("caller left", map[string]any{"events": s.events, "error": err.Error()})
+		s.log("caller left", map[string]any{fieldEvents: s.events, fieldError: err.Error()})
 		return true
 	}
 	if s.events == len(events) {
@@ -376,8 +387,8 @@
 		s.avoid[w] = true
 	}
 	s.log("stream silent", map[string]any{
-		"path": s.path.String(), "suspects": names, "silence_ms": st.Silence.Milliseconds(),
-		"events": s.events, "detour": detour.String(),
+		fieldPath: s.path.String(), "suspects": names, "silence_ms": st.Silence.Milliseconds(),
+		fieldEvents: s.events, "detour": detour.String(),
 	})
 	if len(detour) > 0 {
 		callCtx, cancel := context.WithTimeout(ctx, rerouteTimeout)
@@ -388,10 +399,10 @@
 			s.models.Reroute(time.Now(), s.call.ID, detour)
 			s.f.mu.Unlock()
 			s.path = detour
-			s.log("stream rerouted", map[string]any{"path": detour.String()})
+			s.log("stream rerouted", map[string]any{fieldPath: detour.String()})
 			return false
 		}
-		s.log("reroute failed", map[string]any{"error": err.Error()})
+		s.log("reroute failed", map[string]any{fieldError: err.Error()})
 	}
 	if s.attemptOpen() {
 		s.sends++
--- a/internal/daemon/forward/types.go
+++ b/internal/daemon/forward/types.go
@@ -81,3 +81,13 @@
 type Logger interface {
 	Decision(request, decision string, fields map[string]any)
 }
+
+// The fields of log lines that several decisions have.
+const (
+	fieldError    = "error"
+	fieldSends    = "sends"
+	fieldEvents   = "events"
+	fieldPath     = "path"
+	fieldStatus   = "status"
+	fieldEndpoint = "endpoint"
+)
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -141,7 +141,7 @@
 func (c *conn) close() {
 	c.once.Do(func() {
 		// Only the connection's own failure could be reported, and it is given up.
-		_ = c.Conn.Close() //nolint:errcheck // nothing depends on it
+		_ = c.Close() //nolint:errcheck // nothing depends on it
 	})
 }
 
@@ -165,7 +165,7 @@
 			return nil, &Error{Sent: true, err: err}
 		}
 	}
-	resp, err := c.read(req, p.cfg.Ours)
+	resp, err := c.read(req, p.cfg.Ours) //nolint:bodyclose // the body is closed by the caller, through body
 	if err != nil {
 		stop()
 		c.close()
--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -47,8 +47,8 @@
 	Want bool `json:"want,omitempty"`
 	// Loads is what the sender's streams put on each worker.
 	Loads map[string]path.Load `json:"loads,omitempty"`
-	// Crashes lists requests that crashed the workers that ran them.
-	Crashes map[string]int `json:"crashes,omitempty"`
+	// Marks lists requests that crashed the endpoints that ran them.
+	Marks json.RawMessage `json:"marks,omitempty"`
 }
 
 // Handler takes what a peer tells and returns the host's own state.
