--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -35,6 +35,8 @@
 	events  []event
 	err     error
 	ended   bool
+	// replied is true for the end of an answer whose head had come.
+	replied bool
 }
 
 // streamRun serves one stream.
@@ -224,7 +226,7 @@
 			if errors.Is(err, io.EOF) {
 				err = nil
 			}
-			put(item{err: err, ended: true})
+			put(item{err: err, ended: true, replied: true})
 			return
 		}
 		if !put(item{events: events}) {
@@ -241,7 +243,7 @@
 	case len(it.events) > 0:
 		return s.takeEvents(ctx, it.events)
 	case it.err != nil:
-		sent := s.f.cfg.Endpoints.Sent(it.err)
+		sent := it.replied || s.f.cfg.Endpoints.Sent(it.err)
 		s.log("attempt failed", map[string]any{fieldPath: s.path.String(), fieldError: it.err.Error(), "sent": sent, fieldEvents: s.events})
 		if s.attemptOpen() {
 			s.sends++
