Tell hubs where there are many hosts, share the use of links, space calls to the store by the number of hosts

Cause: each pair of 66 hosts told each other twice a second: 1.84 GB between domains, links of 20 Mbit/s full, half of the answers late. Change: core/roster: more than 12 hosts tell the three strongest, the first of which answers with the others' state and the sum of their use; watches wait and rest longer with many hosts.

--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -69,6 +69,10 @@
 	Full Refusal = "workers_full"
 )
 
+// maxExtrapolated bounds the number of peers that are taken to have added what this host has. Of many, few chose
+// alike since they last told.
+const maxExtrapolated = 8
+
 // worker is one worker of the service.
 type worker struct {
 	endpoint deployment.Endpoint
--- a/internal/core/path/pipe.go
+++ b/internal/core/path/pipe.go
@@ -36,13 +36,16 @@
 	return p.bytes * math.Exp(-float64(now.Sub(p.at))/float64(pipeWindow))
 }
 
-// use returns the share of a link that the streams of all hosts use, taking peers to use as much as this host.
+// use returns the share of a link that the streams of all hosts use.
 func (s *System) use(now time.Time, a, b string) float64 {
-	p := s.pipes[pairOf(a, b)]
-	if p == nil || s.engine.CrossDomainMbps <= 0 {
+	if s.engine.CrossDomainMbps <= 0 {
 		return 0
 	}
-	rate := p.decayed(now) / pipeWindow.Seconds() * float64(s.peers+1)
+	key := pairOf(a, b)
+	rate := s.peerPipes[key.name()]
+	if p := s.pipes[key]; p != nil {
+		rate += p.decayed(now) / pipeWindow.Seconds()
+	}
 	return rate * bitsPerByte / (s.engine.CrossDomainMbps * bitsPerMbit)
 }
 
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -1,7 +1,6 @@
 package path
 
 import (
-	"math"
 	"math/rand"
 	"slices"
 	"time"
@@ -24,8 +23,10 @@
 	random  *rand.Rand
 	peers   int
 	pipes   map[pair]*pipe
-	gap     average
-	first   average
+	// peerPipes is what other hosts send over the links between domains, in bytes a second.
+	peerPipes map[string]float64
+	gap       average
+	first     average
 }
 
 // New returns a system without workers.
@@ -75,33 +76,6 @@
 	return max(free, 0) * bytesPerMB / (s.engine.ContextTokenBytes / float64(s.engine.Layers))
 }
 
-// Load is what streams put on one worker.
-type Load struct {
-	// Context is the memory that they take, in tokens x layers.
-	Context float64 `json:"c"`
-	Streams int     `json:"n"`
-}
-
-// Loads returns what the streams of this host put on each worker.
-func (s *System) Loads() map[string]Load {
-	out := map[string]Load{}
-	for id, w := range s.workers {
-		if w.streams > 0 {
-			out[id] = Load{Context: math.Round(w.used), Streams: w.streams}
-		}
-	}
-	return out
-}
-
-// SetPeerLoads replaces what the streams of all other hosts, peers in number, put on the workers.
-func (s *System) SetPeerLoads(loads map[string]Load, peers int) {
-	s.peers = peers
-	for id, w := range s.workers {
-		w.peerUsed, w.peerStreams = loads[id].Context, loads[id].Streams
-		w.addedUsed, w.added = 0, 0
-	}
-}
-
 // Streams returns how many streams of this host are running.
 func (s *System) Streams() int { return len(s.streams) }
 
--- /dev/null
+++ b/internal/core/path/usage.go
@@ -0,0 +1,61 @@
+package path
+
+import (
+	"math"
+	"strings"
+	"time"
+)
+
+// Load is what streams put on one worker.
+type Load struct {
+	// Context is the memory that they take, in tokens x layers.
+	Context float64 `json:"c"`
+	Streams int     `json:"n"`
+}
+
+// Usage is what the streams of hosts use of the workers and of the links between domains.
+type Usage struct {
+	Workers map[string]Load `json:"workers,omitempty"`
+	// Pipes holds the bytes a second over the link between two domains.
+	Pipes map[string]float64 `json:"pipes,omitempty"`
+}
+
+// NewUsage returns a usage of nothing.
+func NewUsage() Usage { return Usage{Workers: map[string]Load{}, Pipes: map[string]float64{}} }
+
+// Add adds another usage.
+func (u Usage) Add(other Usage) {
+	for id, l := range other.Workers {
+		t := u.Workers[id]
+		u.Workers[id] = Load{Context: t.Context + l.Context, Streams: t.Streams + l.Streams}
+	}
+	for name, rate := range other.Pipes {
+		u.Pipes[name] += rate
+	}
+}
+
+func (p pair) name() string { return strings.Join([]string{p.a, p.b}, "|") }
+
+// Usage adds what the streams of this host use to u.
+func (s *System) Usage(now time.Time, u Usage) {
+	for id, w := range s.workers {
+		if w.streams > 0 {
+			u.Workers[id] = Load{Context: math.Round(w.used), Streams: w.streams}
+		}
+	}
+	for key, p := range s.pipes {
+		if rate := math.Round(p.decayed(now) / pipeWindow.Seconds()); rate > 0 {
+			u.Pipes[key.name()] += rate
+		}
+	}
+}
+
+// SetPeerUsage replaces what the streams of all other hosts, peers in number, use.
+func (s *System) SetPeerUsage(u Usage, peers int) {
+	s.peers = min(peers, maxExtrapolated)
+	s.peerPipes = u.Pipes
+	for id, w := range s.workers {
+		w.peerUsed, w.peerStreams = u.Workers[id].Context, u.Workers[id].Streams
+		w.addedUsed, w.added = 0, 0
+	}
+}
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -18,6 +18,7 @@
 
 	"waxwingplank/internal/core/deployment"
 	"waxwingplank/internal/core/lease"
+	"waxwingplank/internal/core/roster"
 	"waxwingplank/internal/core/table"
 	"waxwingplank/internal/daemon/follow"
 	"waxwingplank/internal/daemon/forward"
@@ -32,6 +33,10 @@
 	// below, 2.8 s, within the stability window after which a host must have caught up.
 	watchWait   = 2300 * time.Millisecond
 	watchMargin = 400 * time.Millisecond
+	// maxWatchWait is within what the store allows.
+	maxWatchWait = 15 * time.Second
+	// smallDeployment is the number of hosts up to which the times above hold as they are.
+	smallDeployment = 12
 	// endpointRest collects the changes of many endpoints into one call.
 	endpointRest = 150 * time.Millisecond
 	configRest   = 20 * time.Millisecond
@@ -42,6 +47,7 @@
 	// stallPeriod is the time between two looks for silent streams, a fraction of the silence that counts.
 	stallPeriod = 20 * time.Millisecond
 	placePeriod = 150 * time.Millisecond
+	standPeriod = 500 * time.Millisecond
 	// The lease for placing lasts a few renewals, so that another host takes over a few seconds after its holder
 	// has failed.
 	leaseDuration = 4 * time.Second
@@ -139,10 +145,11 @@
 	}
 	d.hosts = &hosts{
 		cfg: cfg.Settings, log: d.log, view: d.view, client: exchange.NewClient(tellTimeout), store: cfg.Store,
-		self: func() *exchange.State { return d.state(time.Now()) }, onLoad: d.forwarder.SetPeerLoads, onMarks: d.takeMarks, peers: map[string]*peer{},
+		self: func() *exchange.State { return d.state(time.Now()) }, onUsage: d.forwarder.SetPeerUsage, onMarks: d.takeMarks,
+		roster: roster.New(roster.Config{Self: cfg.Settings.file.Peers, Weight: cfg.Settings.weight()}),
 	}
 	for _, seed := range cfg.Settings.file.Seeds {
-		d.hosts.add(seed)
+		d.hosts.add(seed, 0)
 	}
 	d.keeper = leases.New(leases.Config{
 		Store: cfg.Store, Log: d.log, CallTimeout: callTimeout,
@@ -186,7 +193,7 @@
 		d.follower(d.cfg.Platform.EndpointsKind(), endpointRest, lapseReturn, d.view.endpointsChanged).Run,
 		d.hosts.discover, d.stand,
 		func(ctx context.Context) { d.hosts.announce(ctx, d.started) },
-		d.hosts.run, d.watchStreams, d.place, d.keeper.Run,
+		d.hosts.run, d.hosts.useLoads, d.watchStreams, d.place, d.keeper.Run,
 	} {
 		parts.Add(1)
 		go func() {
@@ -202,11 +209,23 @@
 
 func (d *Daemon) follower(kind string, rest, back time.Duration, onChange func(follow.State)) *follow.Follower {
 	return follow.New(follow.Config{
-		Source: d.cfg.Store, Kind: kind, Log: d.log, Wait: watchWait, CallMargin: watchMargin, Rest: rest,
+		Source: d.cfg.Store, Kind: kind, Log: d.log, Wait: d.watchWait, CallMargin: watchMargin,
+		Rest:  func() time.Duration { return time.Duration(float64(rest) * d.crowd()) },
 		Retry: storeRetry, Return: back, Outage: lapseOutage, OnChange: onChange,
 	})
 }
 
+// crowd is how much rarer than a small deployment's this host's calls to the store are: the calls of all hosts are
+// what the store has to bear.
+func (d *Daemon) crowd() float64 {
+	return max(1, float64(d.hosts.count())/smallDeployment)
+}
+
+// watchWait is how long a watch waits. With many hosts, changes that a silent connection holds up come by peers.
+func (d *Daemon) watchWait() time.Duration {
+	return min(time.Duration(float64(watchWait)*d.crowd()), maxWatchWait)
+}
+
 // watchStreams looks for silent streams.
 func (d *Daemon) watchStreams(ctx context.Context) {
 	every(ctx, stallPeriod, func() { d.forwarder.Tick(time.Now()) })
@@ -215,9 +234,9 @@
 // stand tries for the lease while this host is among those that should.
 func (d *Daemon) stand(ctx context.Context) {
 	standing := false
-	every(ctx, tellPeriod, func() {
+	every(ctx, standPeriod, func() {
 		now := time.Now()
-		may := d.view.known() && d.hosts.mayLead(d.state(now), now)
+		may := d.view.known() && d.hosts.mayLead(d.state(now).Host, now)
 		if _, held := d.keeper.Held(leasePlacing); held && !d.leaving.Load() {
 			// A lease that works is kept, whoever else may have come.
 			may = true
@@ -249,7 +268,7 @@
 		for name, svc := range t.Services() {
 			d.placer.Tick(ctx, time.Now(), svc, byService[name])
 		}
-		d.forwarder.SetHosts(d.hosts.known())
+		d.forwarder.SetHosts(d.hosts.count())
 	})
 }
 
@@ -272,8 +291,11 @@
 func (d *Daemon) state(now time.Time) *exchange.State {
 	f := d.cfg.Settings.file
 	s := &exchange.State{
-		Host: f.Host, Domain: f.FailureDomain, Callers: f.Callers, Peers: f.Peers, Started: d.started,
-		Serving: d.ready(), Leaving: d.leaving.Load(), Loads: d.forwarder.Loads(),
+		Host: roster.Host{
+			Name: f.Host, Callers: f.Callers, Peers: f.Peers, Started: d.started, Weight: d.cfg.Settings.weight(),
+			Serving: d.ready(), Leaving: d.leaving.Load(),
+		},
+		Usage: d.forwarder.Usage(now),
 	}
 	if marks := d.forwarder.Marks(); len(marks) > 0 {
 		raw, err := json.Marshal(marks)
@@ -283,7 +305,7 @@
 		s.Marks = raw
 	}
 	d.view.tell(s, now)
-	s.Want = s.AgeMs > staleAfter.Milliseconds()
+	s.Want = s.StoreAge > (d.watchWait() + watchMargin + staleAfter).Milliseconds()
 	return s
 }
 
@@ -292,6 +314,7 @@
 	now := time.Now()
 	d.hosts.heard(from, now)
 	s := d.state(now)
+	d.hosts.brief(s, from, now)
 	d.view.give(s, from, now)
 	return s, nil
 }
--- a/internal/daemon/edge/hosts.go
+++ b/internal/daemon/edge/hosts.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sort"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"waxwingplank/internal/core/path"
+	"waxwingplank/internal/core/roster"
 	"waxwingplank/internal/core/storage"
 	"waxwingplank/internal/peer/exchange"
 )
@@ -19,25 +19,18 @@
 const (
 	// kindHosts is the kind of the objects by which hosts find each other.
 	kindHosts = "waxwingplank-hosts"
-	// tellPeriod is the time between two messages to a peer. Loads that are this old make hosts that choose at
-	// once lean the same way; shorter periods cost processor time.
-	tellPeriod = 500 * time.Millisecond
-	// tellTimeout bounds a message; a host that does not answer in it twice is left out of the directory.
+	// lookPeriod is the time between two looks for hosts to be told.
+	lookPeriod = 100 * time.Millisecond
+	// tellTimeout bounds a message between hosts.
 	tellTimeout = 400 * time.Millisecond
-	// hostTimeout is how long a host that does not answer stays in the directory.
-	hostTimeout = 1300 * time.Millisecond
-	// staleAfter is the age of the endpoints' list from which peers are asked for theirs. It is above the time
-	// that a waiting watch leaves the list unconfirmed.
-	staleAfter = 2800 * time.Millisecond
-	// unansweredPause spaces the messages to hosts that have not answered for long, such as removed ones.
-	unansweredPause = 2 * time.Second
-	callTimeout     = 700 * time.Millisecond
-	// discoverPeriod is for hosts that could not tell each other when they started.
+	// staleAfter is the age of the endpoints' list from which peers are asked for theirs, beyond the time that a
+	// waiting watch leaves the list unconfirmed.
+	staleAfter  = 500 * time.Millisecond
+	callTimeout = 700 * time.Millisecond
+	// discoverRetry is the time between two tries to read the hosts' records, discoverPeriod that between two
+	// readings, for hosts that could not tell each other when they started.
+	discoverRetry  = 500 * time.Millisecond
 	discoverPeriod = 20 * time.Second
-	// leaders is how many hosts try for a lease: one holds it, one stands by.
-	leaders = 2
-	// reachesStore is the age of a host's list of endpoints above which it does not reach the store.
-	reachesStore = 4 * time.Second
 )
 
 // hostRecord is a host's object in the store.
@@ -46,16 +39,8 @@
 	Peers   string `json:"peers"`
 	Domain  string `json:"domain"`
 	Started int64  `json:"started"`
-}
-
-// peer is another host.
-type peer struct {
-	address string
-	state   *exchange.State
-	// heard is when the peer's last answer or message came.
-	heard time.Time
-	asked time.Time
-	busy  bool
+	// Weight ranks hosts by what they can carry.
+	Weight float64 `json:"weight"`
 }
 
 // hosts knows the other hosts of the deployment.
@@ -67,15 +52,15 @@
 	store   Store
 	self    func() *exchange.State
 	onMarks func(json.RawMessage)
-	onLoad  func(loads map[string]path.Load, peers int)
+	onUsage func(u path.Usage, peers int)
 
-	mu    sync.Mutex
-	peers map[string]*peer
+	mu     sync.Mutex
+	roster *roster.System
 }
 
 // announce writes the host's record until the store has it.
 func (h *hosts) announce(ctx context.Context, started int64) {
-	record := hostRecord{Callers: h.cfg.file.Callers, Peers: h.cfg.file.Peers, Domain: h.cfg.file.FailureDomain, Started: started}
+	record := hostRecord{Callers: h.cfg.file.Callers, Peers: h.cfg.file.Peers, Domain: h.cfg.file.FailureDomain, Started: started, Weight: h.cfg.weight()}
 	value, err := json.Marshal(record)
 	if err != nil {
 		h.log.WithError(err).Error("host record not written")
@@ -90,7 +75,7 @@
 		h.log.WithError(err).Warn("host record not written")
 		select {
 		case <-ctx.Done():
-		case <-time.After(tellPeriod):
+		case <-time.After(discoverRetry):
 		}
 	}
 }
@@ -117,7 +102,7 @@
 		wait := discoverPeriod
 		if err := h.readRecords(ctx); err != nil {
 			h.log.WithError(err).Warn("host records not read")
-			wait = tellPeriod
+			wait = discoverRetry
 		}
 		sleep(ctx, wait)
 	}
@@ -136,120 +121,89 @@
 			h.log.WithError(err).WithField("host", o.Name).Warn("host record not read")
 			continue
 		}
-		h.add(r.Peers)
+		h.add(r.Peers, r.Weight)
 	}
 	return nil
 }
 
-// mayLead reports whether this host is among the few that try for a duty: the first by name of those that take
-// calls and reach the store. Hosts that can't see each other may all try; the store lets one win.
-func (h *hosts) mayLead(self *exchange.State, now time.Time) bool {
-	before := 0
-	for _, s := range h.up(now) {
-		if s.Host < self.Host && s.AgeMs < reachesStore.Milliseconds() {
-			before++
-		}
-	}
-	return before < leaders && !self.Leaving
-}
-
-func (h *hosts) add(address string) {
-	if address == "" || address == h.cfg.file.Peers {
-		return
-	}
+func (h *hosts) add(address string, weight float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.peers[address] == nil {
-		h.peers[address] = &peer{address: address}
-	}
+	h.roster.Add(address, weight)
 }
 
-// run tells all peers until ctx ends.
+// run tells the hosts that are due until ctx ends.
 func (h *hosts) run(ctx context.Context) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	for ctx.Err() == nil {
-		for _, p := range h.due(time.Now()) {
+	every(ctx, lookPeriod, func() {
+		now := time.Now()
+		h.mu.Lock()
+		targets := h.roster.Targets(now)
+		h.mu.Unlock()
+		for _, t := range targets {
 			calls.Add(1)
 			go func() {
 				defer calls.Done()
-				h.tell(ctx, p)
+				h.tell(ctx, t)
 			}()
 		}
-		h.sumLoads(time.Now())
-		select {
-		case <-ctx.Done():
-		case <-time.After(tellPeriod):
-		}
+	})
+}
+
+// useLoads takes what the others' streams use into account until ctx ends.
+func (h *hosts) useLoads(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.mu.Lock()
+		usage, peers := h.roster.Usage(time.Now(), "")
+		period := h.roster.Period()
+		h.mu.Unlock()
+		h.onUsage(usage, peers)
+		sleep(ctx, period)
 	}
 }
 
-// tellAll tells all peers once, as a host that is leaving does.
+// tellAll tells all hosts that this one tells, as a host that is leaving does.
 func (h *hosts) tellAll(ctx context.Context) {
 	var calls sync.WaitGroup
 	h.mu.Lock()
-	all := make([]*peer, 0, len(h.peers))
-	for _, p := range h.peers {
-		all = append(all, p)
-	}
+	all := h.roster.Audience(time.Now())
 	h.mu.Unlock()
-	for _, p := range all {
+	for _, address := range all {
 		calls.Add(1)
 		go func() {
 			defer calls.Done()
-			h.tell(ctx, p)
+			h.tell(ctx, roster.Target{Address: address})
 		}()
 	}
 	calls.Wait()
 }
 
-func (h *hosts) due(now time.Time) []*peer {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out []*peer
-	for _, p := range h.peers {
-		// One side of each pair tells, and hears in the answer; the other only if it has not heard for long.
-		if h.cfg.file.Peers > p.address && now.Sub(p.heard) < 2*tellPeriod {
-			continue
-		}
-		if p.busy || (now.Sub(p.heard) > unansweredPause && now.Sub(p.asked) < unansweredPause) {
-			continue
-		}
-		p.busy, p.asked = true, now
-		out = append(out, p)
-	}
-	return out
-}
-
-func (h *hosts) tell(ctx context.Context, p *peer) {
+func (h *hosts) tell(ctx context.Context, t roster.Target) {
 	sent := time.Now()
-	state, err := h.client.Tell(ctx, p.address, h.self())
+	state := h.self()
+	state.Full = t.Full
+	answer, err := h.client.Tell(ctx, t.Address, state)
 	h.mu.Lock()
-	p.busy = false
+	h.roster.Done(t.Address)
 	h.mu.Unlock()
 	if err != nil {
+		// The roster takes a host that does not answer as down; a line for each try would say no more.
 		return
 	}
-	h.heard(state, sent)
+	h.heard(answer, sent)
 }
 
 // heard takes what a peer told.
 func (h *hosts) heard(s *exchange.State, at time.Time) {
-	if s.Peers == "" || s.Peers == h.cfg.file.Peers {
-		return
-	}
 	h.mu.Lock()
-	p := h.peers[s.Peers]
-	if p == nil {
-		p = &peer{address: s.Peers}
-		h.peers[s.Peers] = p
+	changed := h.roster.Hear(at, s.Host, s.Usage)
+	if s.OthersUse != nil {
+		h.roster.HearOthers(at, s.Others, *s.OthersUse, s.OtherCount)
 	}
-	before := p.state
-	wasUp := before != nil && time.Since(p.heard) < hostTimeout
-	p.state, p.heard = s, at
 	h.mu.Unlock()
-	if !wasUp || before.Started != s.Started || before.Leaving != s.Leaving {
-		h.log.WithFields(logrus.Fields{"peer": s.Host, "serving": s.Serving, "leaving": s.Leaving, "started": s.Started}).Info("peer changed")
+	if changed {
+		h.log.WithFields(logrus.Fields{"peer": s.Name, "serving": s.Serving, "leaving": s.Leaving, "started": s.Started}).Info("peer changed")
 	}
 	if len(s.Marks) > 0 {
 		h.onMarks(s.Marks)
@@ -258,51 +212,39 @@
 		h.view.setConfig(s.Config, "peer")
 	}
 	if s.Endpoints != nil {
-		h.view.peerEndpoints(s.Endpoints, at.Add(-time.Duration(s.AgeMs)*time.Millisecond))
+		h.view.peerEndpoints(s.Endpoints, at.Add(-time.Duration(s.StoreAge)*time.Millisecond))
 	}
 }
 
-// up returns the peers that answer and take calls.
-func (h *hosts) up(now time.Time) []*exchange.State {
+// brief adds what a hub knows of the others to the answer to a host that asks for it.
+func (h *hosts) brief(answer, from *exchange.State, now time.Time) {
+	if !from.Full {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var out []*exchange.State
-	for _, p := range h.peers {
-		if p.state != nil && now.Sub(p.heard) < hostTimeout && p.state.Serving && !p.state.Leaving {
-			out = append(out, p.state)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
-	return out
+	answer.Others = h.roster.Seen(now)
+	usage, count := h.roster.Usage(now, from.Peers)
+	usage.Add(answer.Usage)
+	answer.OthersUse, answer.OtherCount = &usage, count+1
 }
 
-// known returns how many hosts there are, this one included.
-func (h *hosts) known() int {
+// up returns the other hosts that answer and take calls.
+func (h *hosts) up(now time.Time) []roster.Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	n := 1
-	for _, p := range h.peers {
-		if p.state != nil {
-			n++
-		}
-	}
-	return n
+	return h.roster.Up(now)
 }
 
-func (h *hosts) sumLoads(now time.Time) {
-	sum := map[string]path.Load{}
-	peers := 0
+// count returns how many hosts there are, this one included.
+func (h *hosts) count() int {
 	h.mu.Lock()
-	for _, p := range h.peers {
-		if p.state == nil || now.Sub(p.heard) > hostTimeout {
-			continue
-		}
-		peers++
-		for id, l := range p.state.Loads {
-			t := sum[id]
-			sum[id] = path.Load{Context: t.Context + l.Context, Streams: t.Streams + l.Streams}
-		}
-	}
-	h.mu.Unlock()
-	h.onLoad(sum, peers)
+	defer h.mu.Unlock()
+	return h.roster.Count()
+}
+
+func (h *hosts) mayLead(self roster.Host, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.roster.MayLead(now, self)
 }
--- a/internal/daemon/edge/settings.go
+++ b/internal/daemon/edge/settings.go
@@ -25,6 +25,8 @@
 	Store            string         `json:"store_address"`
 	MemoryMB         int64          `json:"memory_mb"`
 	MaxDescriptors   int            `json:"max_descriptors"`
+	CPUShare         float64        `json:"cpu_share"`
+	LinkMbps         float64        `json:"link_mbps"`
 	GraceS           float64        `json:"grace_s"`
 	DrainMs          float64        `json:"drain_ms"`
 	ConfigApplyMs    float64        `json:"config_apply_ms"`
@@ -91,6 +93,8 @@
 	}{
 		{"memory_mb", float64(f.MemoryMB)},
 		{"max_descriptors", float64(f.MaxDescriptors)},
+		{"cpu_share", f.CPUShare},
+		{"link_mbps", f.LinkMbps},
 		{"grace_s", f.GraceS},
 		{"drain_ms", f.DrainMs},
 		{"config_apply_ms", f.ConfigApplyMs},
@@ -111,6 +115,9 @@
 
 func (s Settings) grace() time.Duration { return seconds(s.file.GraceS) }
 
+// weight ranks hosts by what they can carry for others.
+func (s Settings) weight() float64 { return s.file.CPUShare * s.file.LinkMbps }
+
 // memoryLimit is the soft limit of the heap; the rest is for stacks, buffers of the system and the program.
 func (s Settings) memoryLimit() int64 {
 	return int64(float64(s.file.MemoryMB) * memoryShare * (1 << 20))
--- a/internal/daemon/edge/view.go
+++ b/internal/daemon/edge/view.go
@@ -162,7 +162,7 @@
 	if v.snapshot != nil {
 		s.EndpointsRevision = v.snapshot.Revision
 	}
-	s.AgeMs = now.Sub(v.confirmed).Milliseconds()
+	s.StoreAge = now.Sub(v.confirmed).Milliseconds()
 }
 
 // give adds what the asking peer lacks.
@@ -172,7 +172,7 @@
 	if v.table != nil && from.ConfigVersion < v.table.Version() {
 		to.Config = v.config
 	}
-	if v.snapshot != nil && from.Want && now.Sub(v.confirmed).Milliseconds() < from.AgeMs {
+	if v.snapshot != nil && from.Want && now.Sub(v.confirmed).Milliseconds() < from.StoreAge {
 		to.Endpoints = v.snapshot
 	}
 }
--- a/internal/daemon/follow/follow.go
+++ b/internal/daemon/follow/follow.go
@@ -40,10 +40,10 @@
 	Log    logrus.FieldLogger
 	// Wait is how long a watch waits for a change. With CallMargin it bounds how long a connection that has
 	// gone silent holds up a change.
-	Wait       time.Duration
+	Wait       func() time.Duration
 	CallMargin time.Duration
 	// Rest is the least time between two watches; changes that come in series are read together.
-	Rest time.Duration
+	Rest func() time.Duration
 	// Retry is the time between two calls while the store is away.
 	Retry time.Duration
 	// Return is how long after an outage the objects that are missing may still come back.
@@ -87,7 +87,7 @@
 	for ctx.Err() == nil {
 		sent := time.Now()
 		changed, err := f.step(ctx)
-		rest := f.cfg.Rest
+		rest := f.cfg.Rest()
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -141,7 +141,7 @@
 		f.revision, f.listed = revision, true
 		return true, nil
 	}
-	wait := f.cfg.Wait
+	wait := f.cfg.Wait()
 	if len(f.missing) > 0 {
 		wait = min(wait, f.cfg.Retry)
 	}
@@ -198,7 +198,7 @@
 		return false
 	}
 	until := f.returns
-	if !f.lastGood.IsZero() && now.Sub(f.lastGood) > f.cfg.Outage+f.cfg.Wait {
+	if !f.lastGood.IsZero() && now.Sub(f.lastGood) > f.cfg.Outage+f.cfg.Wait() {
 		until = now.Add(f.cfg.Return)
 	}
 	if !now.Before(until) {
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -130,25 +130,23 @@
 	return len(f.runs)
 }
 
-// Loads returns what this host's streams put on the workers.
-func (f *Forwarder) Loads() map[string]path.Load {
+// Usage returns what this host's streams use of the workers and links.
+func (f *Forwarder) Usage(now time.Time) path.Usage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := map[string]path.Load{}
+	out := path.NewUsage()
 	for _, s := range f.models {
-		for id, l := range s.Loads() {
-			out[id] = l
-		}
+		s.Usage(now, out)
 	}
 	return out
 }
 
-// SetPeerLoads replaces what the streams of other hosts put on the workers.
-func (f *Forwarder) SetPeerLoads(loads map[string]path.Load, peers int) {
+// SetPeerUsage replaces what the streams of other hosts use.
+func (f *Forwarder) SetPeerUsage(u path.Usage, peers int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.models {
-		s.SetPeerLoads(loads, peers)
+		s.SetPeerUsage(u, peers)
 	}
 }
 
--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"waxwingplank/internal/core/path"
+	"waxwingplank/internal/core/roster"
 )
 
 const rpcTell = "/waxwingplank.Exchange/Tell"
@@ -26,27 +27,22 @@
 
 // State is what a host tells another.
 type State struct {
-	Host   string `json:"host"`
-	Domain string `json:"domain"`
-	// Callers is the address for callers, Peers the one for this protocol.
-	Callers string `json:"callers"`
-	Peers   string `json:"peers"`
-	// Started is the Unix nanosecond of the process's start.
-	Started int64 `json:"started"`
-	Serving bool  `json:"serving"`
-	Leaving bool  `json:"leaving"`
-	// ConfigVersion and EndpointsRevision say how new the sender's knowledge is; AgeMs is how long ago the store
-	// last confirmed it.
+	roster.Host
+	// ConfigVersion and EndpointsRevision say how new the sender's knowledge is.
 	ConfigVersion     int64 `json:"config_version"`
 	EndpointsRevision int64 `json:"endpoints_revision"`
-	AgeMs             int64 `json:"age_ms"`
 	// Config and Endpoints are sent to a peer that lacks them and asked.
 	Config    json.RawMessage `json:"config,omitempty"`
 	Endpoints *Snapshot       `json:"endpoints,omitempty"`
 	// Want asks the receiver for what is newer than the sender's.
 	Want bool `json:"want,omitempty"`
-	// Loads is what the sender's streams put on each worker.
-	Loads map[string]path.Load `json:"loads,omitempty"`
+	// Usage is what the sender's streams use.
+	Usage path.Usage `json:"usage"`
+	// Full asks a hub for what it knows of the others, which it gives in Others, with their use and number.
+	Full       bool          `json:"full,omitempty"`
+	Others     []roster.Seen `json:"others,omitempty"`
+	OthersUse  *path.Usage   `json:"others_use,omitempty"`
+	OtherCount int           `json:"other_count,omitempty"`
 	// Marks lists requests that crashed the endpoints that ran them.
 	Marks json.RawMessage `json:"marks,omitempty"`
 }
