Take peers to have added the use of links that this host added; tell how late the store is

Cause: hosts saw the use of links half a second late and crossed together; weak hosts stood for the lease since a waiting watch made the strong ones look cut off. Change: the use is extrapolated like the workers' loads; a host tells how long the store's answer is overdue.

--- a/internal/core/path/pipe.go
+++ b/internal/core/path/pipe.go
@@ -21,6 +21,8 @@
 type pipe struct {
 	bytes float64
 	at    time.Time
+	// added is what this host has sent since its peers last told theirs.
+	added float64
 }
 
 type pair struct{ a, b string }
@@ -44,7 +46,7 @@
 	key := pairOf(a, b)
 	rate := s.peerPipes[key.name()]
 	if p := s.pipes[key]; p != nil {
-		rate += p.decayed(now) / pipeWindow.Seconds()
+		rate += (p.decayed(now) + p.added*float64(s.peers)) / pipeWindow.Seconds()
 	}
 	return rate * bitsPerByte / (s.engine.CrossDomainMbps * bitsPerMbit)
 }
@@ -61,7 +63,9 @@
 			s.pipes[key] = &pipe{}
 		}
 		link := s.pipes[key]
-		link.bytes, link.at = link.decayed(now)+d.tokens()*s.engine.ActivationBytes, now
+		sent := d.tokens() * s.engine.ActivationBytes
+		link.bytes, link.at = link.decayed(now)+sent, now
+		link.added += sent
 	}
 }
 
--- a/internal/core/path/usage.go
+++ b/internal/core/path/usage.go
@@ -54,6 +54,9 @@
 func (s *System) SetPeerUsage(u Usage, peers int) {
 	s.peers = min(peers, maxExtrapolated)
 	s.peerPipes = u.Pipes
+	for _, p := range s.pipes {
+		p.added = 0
+	}
 	for id, w := range s.workers {
 		w.peerUsed, w.peerStreams = u.Workers[id].Context, u.Workers[id].Streams
 		w.addedUsed, w.added = 0, 0
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -21,8 +21,8 @@
 	silences = 2.6
 	// leaders is how many hosts try for a duty: one holds it, one stands by.
 	leaders = 2
-	// reachesStore is the age of a host's list of endpoints above which it does not reach the store.
-	reachesStore = 4 * time.Second
+	// reachesStore is how long the store's next answer may be overdue at a host that reaches it.
+	reachesStore = 1500 * time.Millisecond
 	// unansweredPause spaces the messages to hosts that have not answered for long, such as removed ones.
 	unansweredPause = 2 * time.Second
 	// usageAge is how long what a hub told of the others' load is used.
@@ -42,6 +42,8 @@
 	Leaving bool    `json:"leaving"`
 	// StoreAge is how long ago the store last confirmed its list of endpoints, in ms.
 	StoreAge int64 `json:"age_ms"`
+	// StoreLate is how long the store's next answer is overdue, in ms.
+	StoreLate int64 `json:"late_ms"`
 }
 
 // Seen is a host as another has heard of it.
@@ -283,7 +285,7 @@
 	before := 0
 	for _, h := range s.Up(now) {
 		stronger := h.Weight > self.Weight || (h.Weight == self.Weight && h.Name < self.Name)
-		if stronger && h.StoreAge < reachesStore.Milliseconds() {
+		if stronger && h.StoreLate < reachesStore.Milliseconds() {
 			before++
 		}
 	}
@@ -293,7 +295,7 @@
 // StoreAway reports whether no other host that is up reaches the store.
 func (s *System) StoreAway(now time.Time) bool {
 	for _, h := range s.Up(now) {
-		if h.StoreAge < reachesStore.Milliseconds() {
+		if h.StoreLate < reachesStore.Milliseconds() {
 			return false
 		}
 	}
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -305,7 +305,8 @@
 		s.Marks = raw
 	}
 	d.view.tell(s, now)
-	s.Want = s.StoreAge > (d.watchWait() + watchMargin + staleAfter).Milliseconds()
+	s.StoreLate = max(0, s.StoreAge-(d.watchWait()+watchMargin).Milliseconds())
+	s.Want = s.StoreLate > staleAfter.Milliseconds()
 	return s
 }
 
