Let hubs watch the store closely and tell others; share which workers turn requests away

Change: the strongest hosts watch as often as on a small site and give newer lists to those whose own are unconfirmed; refusals are part of what hosts tell.

--- a/internal/core/path/path_test.go
+++ b/internal/core/path/path_test.go
@@ -126,10 +126,17 @@
 		}},
 		{"a suspected worker", func(s *System) { s.Suspect(start, "a3") }},
 		{"a worker that turned a request away", func(s *System) { s.Refused(start, "10.0.a.3:1") }},
+		{"a worker that turned away a request of a peer", func(s *System) {
+			other := newSystem(domains("a", "b"))
+			other.Refused(start, "10.0.a.3:1")
+			u := NewUsage()
+			other.Usage(start, u)
+			s.SetPeerUsage(start, u, 1)
+		}},
 		{"a worker without memory", func(s *System) {
 			u := NewUsage()
 			u.Workers["a3"] = Load{Context: 1e9, Streams: 100}
-			s.SetPeerUsage(u, 1)
+			s.SetPeerUsage(start, u, 1)
 		}},
 	}
 	for _, c := range cases {
--- a/internal/core/path/usage.go
+++ b/internal/core/path/usage.go
@@ -18,10 +18,14 @@
 	Workers map[string]Load `json:"workers,omitempty"`
 	// Pipes holds the bytes a second over the link between two domains.
 	Pipes map[string]float64 `json:"pipes,omitempty"`
+	// Refusing holds how long, in ms, workers that turned requests away are still left out.
+	Refusing map[string]int64 `json:"refusing,omitempty"`
 }
 
 // NewUsage returns a usage of nothing.
-func NewUsage() Usage { return Usage{Workers: map[string]Load{}, Pipes: map[string]float64{}} }
+func NewUsage() Usage {
+	return Usage{Workers: map[string]Load{}, Pipes: map[string]float64{}, Refusing: map[string]int64{}}
+}
 
 // Add adds another usage.
 func (u Usage) Add(other Usage) {
@@ -32,6 +36,9 @@
 	for name, rate := range other.Pipes {
 		u.Pipes[name] += rate
 	}
+	for id, left := range other.Refusing {
+		u.Refusing[id] = max(u.Refusing[id], left)
+	}
 }
 
 func (p pair) name() string { return strings.Join([]string{p.a, p.b}, "|") }
@@ -42,6 +49,9 @@
 		if w.streams > 0 {
 			u.Workers[id] = Load{Context: math.Round(w.used), Streams: w.streams}
 		}
+		if left := w.refusedUntil.Sub(now).Milliseconds(); left > 0 {
+			u.Refusing[id] = left
+		}
 	}
 	for key, p := range s.pipes {
 		if rate := math.Round(p.decayed(now) / pipeWindow.Seconds()); rate > 0 {
@@ -51,7 +61,7 @@
 }
 
 // SetPeerUsage replaces what the streams of all other hosts, peers in number, use.
-func (s *System) SetPeerUsage(u Usage, peers int) {
+func (s *System) SetPeerUsage(now time.Time, u Usage, peers int) {
 	s.peers = min(peers, maxExtrapolated)
 	s.peerPipes = u.Pipes
 	for _, p := range s.pipes {
@@ -60,5 +70,9 @@
 	for id, w := range s.workers {
 		w.peerUsed, w.peerStreams = u.Workers[id].Context, u.Workers[id].Streams
 		w.addedUsed, w.added = 0, 0
+		until := now.Add(time.Duration(u.Refusing[id]) * time.Millisecond)
+		if until.After(w.refusedUntil) {
+			w.refusedUntil, w.refusals = until, max(w.refusals, 1)
+		}
 	}
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -247,6 +247,22 @@
 	return a < b
 }
 
+// Hub reports whether other hosts hear from this one what the store says: it is among the strongest, or there are
+// few hosts.
+func (s *System) Hub(now time.Time, self Host) bool {
+	if s.meshed() {
+		return true
+	}
+	before := 0
+	for address, e := range s.entries {
+		stronger := e.host.Weight > self.Weight || (e.host.Weight == self.Weight && address < self.Peers)
+		if stronger && s.alive(now, e) && !e.host.Leaving {
+			before++
+		}
+	}
+	return before < hubs
+}
+
 // Up returns the other hosts that are up and take calls, by name.
 func (s *System) Up(now time.Time) []Host {
 	var out []Host
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -38,7 +38,7 @@
 	// smallDeployment is the number of hosts up to which the times above hold as they are.
 	smallDeployment = 12
 	// endpointRest collects the changes of many endpoints into one call.
-	endpointRest = 150 * time.Millisecond
+	endpointRest = 200 * time.Millisecond
 	configRest   = 20 * time.Millisecond
 	storeRetry   = 250 * time.Millisecond
 	// lapseReturn is how long after an outage of the store lapsed entries may come back.
@@ -209,17 +209,27 @@
 func (d *Daemon) follower(kind string, rest, back time.Duration, onChange func(follow.State)) *follow.Follower {
 	return follow.New(follow.Config{
 		Source: d.cfg.Store, Kind: kind, Log: d.log, Wait: d.watchWait, CallMargin: watchMargin,
-		Rest:  func() time.Duration { return time.Duration(float64(rest) * d.crowd()) },
+		Rest:  func() time.Duration { return min(time.Duration(float64(rest)*d.crowd()), d.longestRest()) },
 		Retry: storeRetry, Return: back, Outage: lapseOutage, OnChange: onChange,
 	})
 }
 
 // crowd is how much rarer than a small deployment's this host's calls to the store are: the calls of all hosts are
-// what the store has to bear.
+// what the store has to bear. Hubs call as often as ever, since the others hear of changes from them.
 func (d *Daemon) crowd() float64 {
+	f := d.cfg.Settings.file
+	if d.hosts.hub(roster.Host{Peers: f.Peers, Weight: d.cfg.Settings.weight()}, time.Now()) {
+		return 1
+	}
 	return max(1, float64(d.hosts.count())/smallDeployment)
 }
 
+// longestRest leaves half of the time in which a draining endpoint must get no more requests.
+func (d *Daemon) longestRest() time.Duration {
+	const half = 0.5
+	return time.Duration(half * d.current().file.DrainMs * float64(time.Millisecond))
+}
+
 // watchWait is how long a watch waits. With many hosts, changes that a silent connection holds up come by peers.
 func (d *Daemon) watchWait() time.Duration {
 	return min(time.Duration(float64(watchWait)*d.crowd()), maxWatchWait)
--- a/internal/daemon/edge/hosts.go
+++ b/internal/daemon/edge/hosts.go
@@ -52,7 +52,7 @@
 	store   Store
 	self    func() *exchange.State
 	onMarks func(json.RawMessage)
-	onUsage func(u path.Usage, peers int)
+	onUsage func(now time.Time, u path.Usage, peers int)
 
 	mu     sync.Mutex
 	roster *roster.System
@@ -160,10 +160,11 @@
 func (h *hosts) useLoads(ctx context.Context) {
 	for ctx.Err() == nil {
 		h.mu.Lock()
-		usage, peers := h.roster.Usage(time.Now(), "")
+		now := time.Now()
+		usage, peers := h.roster.Usage(now, "")
 		period := h.roster.Period()
 		h.mu.Unlock()
-		h.onUsage(usage, peers)
+		h.onUsage(now, usage, peers)
 		sleep(ctx, period)
 	}
 }
@@ -248,6 +249,12 @@
 	return h.roster.Count()
 }
 
+func (h *hosts) hub(self roster.Host, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.roster.Hub(now, self)
+}
+
 func (h *hosts) mayLead(self roster.Host, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/daemon/edge/view.go
+++ b/internal/daemon/edge/view.go
@@ -13,6 +13,9 @@
 	"waxwingplank/internal/peer/exchange"
 )
 
+// unconfirmed is the age of a peer's list from which a newer one is sent to it: before, its own watch brings it.
+const unconfirmed = 1500 * time.Millisecond
+
 // view is what the host knows of the configuration and the endpoints, from the store or from peers.
 type view struct {
 	platform Platform
@@ -172,7 +175,8 @@
 	if v.table != nil && from.ConfigVersion < v.table.Version() {
 		to.Config = v.config
 	}
-	if v.snapshot != nil && from.Want && now.Sub(v.confirmed).Milliseconds() < from.StoreAge {
+	newer := v.snapshot != nil && (from.Want || from.EndpointsRevision < v.snapshot.Revision) && from.StoreAge > unconfirmed.Milliseconds()
+	if newer && now.Sub(v.confirmed).Milliseconds() < from.StoreAge {
 		to.Endpoints = v.snapshot
 	}
 }
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -142,11 +142,11 @@
 }
 
 // SetPeerUsage replaces what the streams of other hosts use.
-func (f *Forwarder) SetPeerUsage(u path.Usage, peers int) {
+func (f *Forwarder) SetPeerUsage(now time.Time, u path.Usage, peers int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.models {
-		s.SetPeerUsage(u, peers)
+		s.SetPeerUsage(now, u, peers)
 	}
 }
 
