--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -93,6 +93,8 @@
 	// so that their events say nothing.
 	refusedUntil time.Time
 	refusals     int
+	// toldUntil is the same by what peers told.
+	toldUntil time.Time
 	// suspicions in a row without progress lengthen the next one.
 	suspicions int
 	progressed time.Time
@@ -107,7 +109,8 @@
 }
 
 func (w *worker) usable(now time.Time) bool {
-	return w.serving() && !now.Before(w.suspectUntil) && !now.Before(w.refusedUntil) && w.trial == ""
+	return w.serving() && !now.Before(w.suspectUntil) && !now.Before(w.refusedUntil) && !now.Before(w.toldUntil) &&
+		w.trial == ""
 }
 
 // serving reports whether the worker says that it takes requests.
--- a/internal/core/path/path_test.go
+++ b/internal/core/path/path_test.go
@@ -167,6 +167,24 @@
 	is.Equal(refusal, Uncovered)
 }
 
+// Guards against a refusal that two hosts tell each other for ever.
+func TestRefusalDoesNotGoRound(t *testing.T) {
+	is := is.New(t)
+	a, b := newSystem(domains("a", "b")), newSystem(domains("a", "b"))
+	a.Refused(start, "10.0.a.3:1")
+	now := start
+	for range 10 {
+		now = now.Add(refusal / 2)
+		ua, ub := NewUsage(), NewUsage()
+		a.Usage(now, ua)
+		b.Usage(now, ub)
+		a.SetPeerUsage(now, ub, 1)
+		b.SetPeerUsage(now, ua, 1)
+	}
+	is.True(a.workers["a3"].usable(now))
+	is.True(b.workers["a3"].usable(now))
+}
+
 // Guards against sending more over a link between domains than it carries.
 func TestChooseStopsCrossingAFullLink(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/path/usage.go
+++ b/internal/core/path/usage.go
@@ -18,7 +18,8 @@
 	Workers map[string]Load `json:"workers,omitempty"`
 	// Pipes holds the bytes a second over the link between two domains.
 	Pipes map[string]float64 `json:"pipes,omitempty"`
-	// Refusing holds how long, in ms, workers that turned requests away are still left out.
+	// Refusing holds how long, in ms, workers that turned requests of these hosts away are still left out. What
+	// hosts have heard from others is not in it, since it would go round for ever.
 	Refusing map[string]int64 `json:"refusing,omitempty"`
 }
 
@@ -70,9 +71,6 @@
 	for id, w := range s.workers {
 		w.peerUsed, w.peerStreams = u.Workers[id].Context, u.Workers[id].Streams
 		w.addedUsed, w.added = 0, 0
-		until := now.Add(time.Duration(u.Refusing[id]) * time.Millisecond)
-		if until.After(w.refusedUntil) {
-			w.refusedUntil, w.refusals = until, max(w.refusals, 1)
-		}
+		w.toldUntil = now.Add(time.Duration(u.Refusing[id]) * time.Millisecond)
 	}
 }
