--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -39,14 +39,26 @@
 	replied bool
 }
 
+// attempt is one sending of a stream's call.
+type attempt struct {
+	number int
+	path   path.Path
+	demand path.Demand
+	cancel context.CancelFunc
+	// counted is set once the sending is among the call's sends, ran once it is among its runs.
+	counted bool
+	ran     bool
+}
+
 // streamRun serves one stream.
 type streamRun struct {
 	*run
 	items chan item
-	// attempt numbers the sendings; items of earlier ones are dropped.
-	attempt int
-	cancel  context.CancelFunc
-	path    path.Path
+	// attempt is the sending in progress. silent, where it is not nil, is the one before it, which is kept until the
+	// new one is answered: it may go on, and the new one may be refused.
+	attempt *attempt
+	silent  *attempt
+	started int
 	// begun is set once the head was relayed; last is the id of the last event passed on.
 	begun   bool
 	last    int64
@@ -63,25 +75,20 @@
 func (r *run) stream(ctx context.Context) {
 	s := &streamRun{
 		run: r, items: make(chan item, 1), last: -1, lastID: r.call.ResumeAfter, numbers: true,
-		moved: time.Now(), avoid: map[string]bool{}, cancel: func() {},
+		moved: time.Now(), avoid: map[string]bool{},
 	}
 	if n, err := strconv.ParseInt(s.lastID, 10, 64); err == nil {
 		s.last = n
 	}
 	completed := false
-	defer func() {
-		s.cancel()
-		if s.attempt > 0 {
-			s.ends(!completed)
-		}
-	}()
+	defer func() { s.stop(completed) }()
 	if !s.start(ctx) {
 		return
 	}
 	for {
 		select {
 		case it := <-s.items:
-			if it.attempt == s.attempt && s.take(ctx, it) {
+			if s.takeItem(ctx, it) {
 				completed = it.ended && it.err == nil
 				return
 			}
@@ -96,6 +103,48 @@
 	}
 }
 
+// stop ends the sendings in progress.
+func (s *streamRun) stop(completed bool) {
+	s.dropSilent()
+	if s.attempt != nil {
+		s.attempt.cancel()
+		s.ends(!completed)
+	}
+}
+
+func (s *streamRun) dropSilent() {
+	if s.silent != nil {
+		s.silent.cancel()
+		s.silent = nil
+	}
+}
+
+// takeItem hands an item to the sending that it belongs to and reports whether the call is answered.
+func (s *streamRun) takeItem(ctx context.Context, it item) bool {
+	switch {
+	case it.attempt == s.attempt.number:
+		return s.take(ctx, it)
+	case s.silent == nil || it.attempt != s.silent.number:
+		return false
+	case it.err != nil || (it.reply != nil && (it.reply.NotRun || it.reply.Status != http.StatusOK)):
+		s.dropSilent()
+		return false
+	default:
+		s.goBack("the earlier sending goes on")
+		return s.take(ctx, it)
+	}
+}
+
+// goBack gives the sending in progress up for the silent one before it.
+func (s *streamRun) goBack(why string) {
+	s.log("sending given up", map[string]any{fieldPath: s.attempt.path.String(), "why": why})
+	s.attempt.cancel()
+	s.attempt, s.silent = s.silent, nil
+	s.f.mu.Lock()
+	s.models.Begin(time.Now(), s.call.ID, s.attempt.path, s.attempt.demand)
+	s.f.mu.Unlock()
+}
+
 // ended answers a call whose time is up or whose caller has left.
 func (s *streamRun) ended(ctx context.Context) {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -113,8 +162,13 @@
 	s.fail(cause, after)
 }
 
-// start sends the call on the cheapest path and reports whether that was possible; else it is answered.
+// start sends the call on the cheapest path and reports whether that was possible; else it is answered. The sending
+// before has ended or is given up.
 func (s *streamRun) start(ctx context.Context) bool {
+	s.dropSilent()
+	if s.attempt != nil {
+		s.attempt.cancel()
+	}
 	wait := placeWait
 	if s.begun {
 		wait = resumeWait - time.Since(s.moved)
@@ -122,9 +176,9 @@
 	until := time.Now().Add(wait)
 	for {
 		// Workers that have failed the call are taken again only towards the end, where nothing else came.
-		p, refusal := s.place(time.Until(until) < wait/2)
+		p, d, refusal := s.place(time.Until(until) < wait/2)
 		if refusal == path.Accepted {
-			s.launch(ctx, p)
+			s.launch(ctx, p, d)
 			return true
 		}
 		if !time.Now().Before(until) {
@@ -145,7 +199,7 @@
 }
 
 // place chooses a path and charges it.
-func (s *streamRun) place(anew bool) (path.Path, path.Refusal) {
+func (s *streamRun) place(anew bool) (path.Path, path.Demand, path.Refusal) {
 	s.f.mu.Lock()
 	defer s.f.mu.Unlock()
 	now := time.Now()
@@ -158,7 +212,7 @@
 	if refusal == path.Accepted {
 		s.models.Begin(now, s.call.ID, p, d)
 	}
-	return p, refusal
+	return p, d, refusal
 }
 
 func (s *streamRun) demand() path.Demand {
@@ -173,18 +227,15 @@
 }
 
 // launch sends the call on a path; its items come in until the sending is cancelled.
-func (s *streamRun) launch(ctx context.Context, p path.Path) {
-	s.cancel()
-	if s.attempt > 0 {
+func (s *streamRun) launch(ctx context.Context, p path.Path, d path.Demand) {
+	if s.attempt != nil {
 		s.ends(true)
 	}
-	s.attempt++
-	s.path = p
-	ctx, s.cancel = context.WithCancel(ctx)
+	s.started++
+	s.attempt = &attempt{number: s.started, path: p, demand: d}
+	ctx, s.attempt.cancel = context.WithCancel(ctx)
 	first := p[0]
-	s.f.mu.Lock()
-	e := s.f.byID[first.Worker]
-	s.f.mu.Unlock()
+	e := s.f.endpoint(first.Worker)
 	e.ID, e.Address = first.Worker, first.Address
 	send := s.send(e, p, s.lastID)
 	s.log("sent", map[string]any{
@@ -192,7 +243,24 @@
 		"prompt": s.call.Prompt, "left_ms": send.Left.Milliseconds(),
 	})
 	s.begins(workersOf(p)...)
-	go pump(ctx, s.f.cfg.Endpoints, send, s.attempt, s.items)
+	go pump(ctx, s.f.cfg.Endpoints, send, s.attempt.number, s.items)
+}
+
+// count notes what is known of the sending in progress: that it was sent, and whether it ran.
+func (s *streamRun) count(ran bool) {
+	a := s.attempt
+	if !a.counted {
+		a.counted = true
+		s.sends++
+	}
+	if ran != a.ran {
+		a.ran = ran
+		if ran {
+			s.runs++
+		} else {
+			s.runs--
+		}
+	}
 }
 
 // pump sends a request and hands what comes back to items.
@@ -245,23 +313,22 @@
 		return s.takeEvents(ctx, it.events)
 	case it.err != nil:
 		sent := it.replied || s.f.cfg.Endpoints.Sent(it.err)
-		s.log("attempt failed", map[string]any{fieldPath: s.path.String(), fieldError: it.err.Error(), "sent": sent, fieldEvents: s.events})
-		if s.attemptOpen() {
-			s.sends++
-			if sent {
-				s.runs++
-			}
+		s.log("attempt failed", map[string]any{fieldPath: s.attempt.path.String(), fieldError: it.err.Error(), "sent": sent, fieldEvents: s.events})
+		s.count(sent)
+		if s.silent != nil {
+			s.goBack("it failed")
+			return false
 		}
-		s.avoid[s.path[0].Worker] = true
-		s.sentTo(s.path[0].Worker, false)
-		s.suspect(s.path[0].Worker)
+		s.avoid[s.attempt.path[0].Worker] = true
+		s.sentTo(s.attempt.path[0].Worker, false)
+		s.suspect(s.attempt.path[0].Worker)
 		if !sent {
 			return !s.startAgain(ctx, causeBroken)
 		}
 		return s.resume(ctx, causeBroken)
 	default:
 		s.log("answered", map[string]any{
-			fieldEvents: s.events, fieldSends: s.sends, fieldPath: s.path.String(),
+			fieldEvents: s.events, fieldSends: s.sends, fieldPath: s.attempt.path.String(),
 			"first_ms": s.first.Milliseconds(), "gap_ms": s.gap.Milliseconds(),
 		})
 		s.f.cfg.Metrics.Answered(s.route.Kind, time.Since(s.call.Received))
@@ -269,28 +336,29 @@
 	}
 }
 
-// attemptOpen reports whether the sending in progress has not been counted yet.
-func (s *streamRun) attemptOpen() bool { return s.sends < s.attempt }
-
 func (s *streamRun) takeReply(ctx context.Context, reply *Reply) bool {
-	s.sends++
+	s.count(!reply.NotRun)
 	if reply.NotRun {
 		fault := reply.Fault
-		s.log("endpoint refused", map[string]any{fieldPath: s.path.String(), fieldStatus: reply.Status, "fault": fault})
+		s.log("endpoint refused", map[string]any{fieldPath: s.attempt.path.String(), fieldStatus: reply.Status, "fault": fault})
 		if fault == "" {
-			fault = s.path[0].Address
+			fault = s.attempt.path[0].Address
 		}
 		s.f.mu.Lock()
 		s.models.Refused(time.Now(), fault)
 		s.f.mu.Unlock()
+		if s.silent != nil {
+			s.goBack("it was refused")
+			return false
+		}
 		return s.resume(ctx, causeBusy)
 	}
-	s.runs++
 	if reply.Status != http.StatusOK || !reply.Genuine {
 		return s.takeFailure(ctx, reply)
 	}
+	s.dropSilent()
 	s.progress()
-	s.sentTo(s.path[0].Worker, true)
+	s.sentTo(s.attempt.path[0].Worker, true)
 	if !s.begun {
 		s.begun = true
 		reply.Length = -1
@@ -303,22 +371,22 @@
 // takeFailure handles an answer that is no stream.
 func (s *streamRun) takeFailure(ctx context.Context, reply *Reply) bool {
 	answer, err := readWhole(reply)
-	fields := map[string]any{fieldPath: s.path.String(), fieldStatus: reply.Status}
+	fields := map[string]any{fieldPath: s.attempt.path.String(), fieldStatus: reply.Status}
 	if err != nil {
 		fields[fieldError] = err.Error()
 	}
 	s.log("attempt failed", fields)
-	s.sentTo(s.path[0].Worker, false)
+	s.sentTo(s.attempt.path[0].Worker, false)
 	retriable := reply.Status >= serverError || reply.Status < http.StatusMultipleChoices
 	if retriable && s.route.Idempotent() && s.mayRepeat(time.Now()) {
-		s.avoid[s.path[0].Worker] = true
+		s.avoid[s.attempt.path[0].Worker] = true
 		return !s.start(ctx)
 	}
 	if s.begun || err != nil || reply.Status < http.StatusMultipleChoices {
 		s.finish(causeBroken, retryFull)
 		return true
 	}
-	s.relay(s.f.endpoint(s.path[0].Worker), answer)
+	s.relay(s.f.endpoint(s.attempt.path[0].Worker), answer)
 	return true
 }
 
@@ -383,7 +451,7 @@
 func (s *streamRun) recover(ctx context.Context, st path.Stalled) bool {
 	s.f.mu.Lock()
 	detour := s.models.Detour(time.Now(), s.call.ID, st.Suspects)
-	e := s.f.byID[s.path[0].Worker]
+	e := s.f.byID[s.attempt.path[0].Worker]
 	s.f.mu.Unlock()
 	names := make([]string, 0, len(st.Suspects))
 	for w := range st.Suspects {
@@ -391,7 +459,7 @@
 		s.avoid[w] = true
 	}
 	s.log("stream silent", map[string]any{
-		fieldPath: s.path.String(), "suspects": names, "silence_ms": st.Silence.Milliseconds(),
+		fieldPath: s.attempt.path.String(), "suspects": names, "silence_ms": st.Silence.Milliseconds(),
 		fieldEvents: s.events, "detour": detour.String(),
 	})
 	if len(detour) > 0 {
@@ -402,26 +470,28 @@
 			s.f.mu.Lock()
 			s.models.Reroute(time.Now(), s.call.ID, detour)
 			s.f.mu.Unlock()
-			s.path = detour
+			s.attempt.path = detour
 			s.log("stream rerouted", map[string]any{fieldPath: detour.String()})
 			return false
 		}
 		s.log("reroute failed", map[string]any{fieldError: err.Error()})
 	}
-	if s.attemptOpen() {
-		s.sends++
-		s.runs++
-	}
+	s.count(true)
 	if !s.route.Idempotent() || !s.mayRepeat(time.Now()) {
 		// The sending in progress may still go on.
 		return false
 	}
-	return !s.start(ctx)
+	if p, d, refusal := s.place(false); refusal == path.Accepted {
+		s.dropSilent()
+		s.silent = s.attempt
+		s.launch(ctx, p, d)
+	}
+	return false
 }
 
 // resume sends the call again after the sending in progress ended, or ends the call.
 func (s *streamRun) resume(ctx context.Context, cause string) bool {
-	s.cancel()
+	s.attempt.cancel()
 	if s.begun && (!s.route.Idempotent() || !s.numbers) {
 		s.finish(cause, retryFull)
 		return true
@@ -435,7 +505,7 @@
 
 // startAgain sends a call again of which nothing was sent; that takes nothing from the budget.
 func (s *streamRun) startAgain(ctx context.Context, cause string) bool {
-	if s.attempt >= maxSends+1 {
+	if s.started > maxSends {
 		s.finish(cause, retryFull)
 		return false
 	}
