--- a/internal/core/layout/plan.go
+++ b/internal/core/layout/plan.go
@@ -28,6 +28,8 @@
 	// returnWait is how long a domain lacks layers before others move: a crashed worker is often back within
 	// that, a move takes about as long, and meanwhile paths lead through other domains.
 	returnWait = 5 * time.Second
+	// leaveWait is the same where workers leave: the one that comes for them, if any, is there before.
+	leaveWait = 300 * time.Millisecond
 	// leastGain is the number of layers that a move must bring: a move takes a worker out of service for
 	// seconds.
 	leastGain = 2
@@ -96,9 +98,10 @@
 // neighbours take some more, and after a while workers leave layers that the domain can spare.
 func (s *System) Tick(now time.Time, engine *deployment.Engine, workers []Worker) []Assignment {
 	c := newCover(engine.Layers)
-	var empty, settled []Worker
+	var empty, settled, leaving []Worker
 	for _, w := range workers {
 		if w.Leaving {
+			leaving = append(leaving, w)
 			continue
 		}
 		c.domain(w.Domain)
@@ -133,13 +136,33 @@
 	var movable []Worker
 	for _, w := range settled {
 		since, lacking := s.gaps[w.Domain]
-		if lacking && now.Sub(since) >= returnWait && !assigned(out, w.ID) {
+		wait := returnWait
+		if c.lacksFor(leaving, w.Domain) {
+			wait = leaveWait
+		}
+		if lacking && now.Sub(since) >= wait && !assigned(out, w.ID) {
 			movable = append(movable, w)
 		}
 	}
 	return append(out, c.moves(movable)...)
 }
 
+// lacksFor reports whether a domain lacks layers since workers leave, which will not come back.
+func (c *cover) lacksFor(leaving []Worker, domain string) bool {
+	held, _ := c.domain(domain)
+	for _, w := range leaving {
+		if w.Domain != domain {
+			continue
+		}
+		for l := max(w.Holds.From, 0); l < min(w.Holds.To, c.layers); l++ {
+			if held[l] == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // note remembers what is empty or lacking for the first time and forgets what no longer is.
 func (s *System) note(now time.Time, c *cover, empty []Worker) {
 	isEmpty := map[string]bool{}
--- a/internal/core/layout/plan_test.go
+++ b/internal/core/layout/plan_test.go
@@ -99,6 +99,34 @@
 	}
 }
 
+// Guards against waiting for the return of a worker that said that it leaves.
+func TestPlanActsOnLeavingWorkers(t *testing.T) {
+	is := is.New(t)
+	e, workers := testEngine(), fleet(threeDomains)
+	settle(t, e, workers)
+	system, now := New(), time.Unix(0, 0)
+	system.Tick(now, e, workers)
+	var left Worker
+	for i := range workers {
+		if workers[i].Domain == "c" && workers[i].Accelerator == "large" {
+			workers[i].Leaving, left = true, workers[i]
+		}
+	}
+	system.Tick(now.Add(100*time.Millisecond), e, workers)
+	moved := system.Tick(now.Add(100*time.Millisecond+leaveWait), e, workers)
+	is.True(len(moved) > 0)
+	for i, w := range workers {
+		if w.ID == left.ID {
+			workers = append(workers[:i], workers[i+1:]...)
+			break
+		}
+	}
+	crashed := New()
+	crashed.Tick(now, e, workers)
+	is.Equal(len(crashed.Tick(now.Add(leaveWait), e, workers)), 0)
+	is.True(len(crashed.Tick(now.Add(returnWait), e, workers)) > 0)
+}
+
 // Guards against spending an empty worker on spare cover just before the worker that it replaces leaves.
 func TestPlanHandsOverInRelease(t *testing.T) {
 	is := is.New(t)
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -93,9 +93,7 @@
 				return
 			}
 		case st := <-r.stalled:
-			if s.recover(ctx, st) {
-				return
-			}
+			s.recover(ctx, st)
 		case <-ctx.Done():
 			s.ended(ctx)
 			return
@@ -448,7 +446,7 @@
 
 // recover moves a stream that has fallen silent to other workers: by a detour where its first worker lives,
 // else by resuming it.
-func (s *streamRun) recover(ctx context.Context, st path.Stalled) bool {
+func (s *streamRun) recover(ctx context.Context, st path.Stalled) {
 	s.f.mu.Lock()
 	detour := s.models.Detour(time.Now(), s.call.ID, st.Suspects)
 	e := s.f.byID[s.attempt.path[0].Worker]
@@ -472,21 +470,20 @@
 			s.f.mu.Unlock()
 			s.attempt.path = detour
 			s.log("stream rerouted", map[string]any{fieldPath: detour.String()})
-			return false
+			return
 		}
 		s.log("reroute failed", map[string]any{fieldError: err.Error()})
 	}
 	s.count(true)
 	if !s.route.Idempotent() || !s.mayRepeat(time.Now()) {
 		// The sending in progress may still go on.
-		return false
+		return
 	}
 	if p, d, refusal := s.place(false); refusal == path.Accepted {
 		s.dropSilent()
 		s.silent = s.attempt
 		s.launch(ctx, p, d)
 	}
-	return false
 }
 
 // resume sends the call again after the sending in progress ended, or ends the call.
--- a/internal/daemon/placing/placing.go
+++ b/internal/daemon/placing/placing.go
@@ -86,8 +86,7 @@
 
 // Tick looks at the workers of a service and sends the orders that are due.
 func (p *Placer) Tick(ctx context.Context, now time.Time, svc *deployment.Service, endpoints []deployment.Endpoint) {
-	fence, ok := p.cfg.Held()
-	if !ok || svc.Engine == nil || svc.Engine.Layers == 0 {
+	if svc.Engine == nil || svc.Engine.Layers == 0 {
 		return
 	}
 	p.mu.Lock()
@@ -98,8 +97,14 @@
 		byID[e.ID] = e
 		workers = append(workers, p.worker(now, e))
 	}
+	// The plan is followed without the lease too, so that a host that takes it over knows since when what is missing.
+	plan := p.plan(svc.Name).Tick(now, svc.Engine, workers)
+	fence, ok := p.cfg.Held()
+	if !ok {
+		return
+	}
 	p.logCover(svc, workers)
-	for _, a := range p.plan(svc.Name).Tick(now, svc.Engine, workers) {
+	for _, a := range plan {
 		e := byID[a.Worker]
 		share := float64(a.Range.Len()) / float64(svc.Engine.Layers)
 		queue := max(1, float64(len(p.pending)+1)/float64(max(svc.Engine.LoadsAtOnce, 1)))
