--- a/internal/core/layout/plan.go
+++ b/internal/core/layout/plan.go
@@ -133,8 +133,16 @@
 		out = append(out, Assignment{Worker: w.ID, Range: r})
 	}
 	out = append(out, c.extensions(engine, settled)...)
+	moving := map[string]bool{}
+	for _, w := range workers {
+		// A worker that moves is out of service for seconds, so that a domain moves one at a time.
+		moving[w.Domain] = moving[w.Domain] || (w.Busy && w.Holds.Len() > 0)
+	}
 	var movable []Worker
 	for _, w := range settled {
+		if moving[w.Domain] {
+			continue
+		}
 		since, lacking := s.gaps[w.Domain]
 		wait := returnWait
 		if c.lacksFor(leaving, w.Domain) {
@@ -253,14 +261,14 @@
 // layers without a holder than before, so that the moves come to an end.
 func (c *cover) moves(settled []Worker) []Assignment {
 	sort.Slice(settled, func(i, j int) bool { return settled[i].ID < settled[j].ID })
-	moved := map[string]bool{}
+	done := map[string]bool{}
 	var out []Assignment
 	for {
 		var best Assignment
 		var domain string
 		bestGain := 0
 		for _, w := range settled {
-			if moved[w.ID] {
+			if done[w.Domain] {
 				continue
 			}
 			before := c.missing(w.Domain)
@@ -286,7 +294,7 @@
 			}
 		}
 		c.add(domain, best.Range)
-		moved[best.Worker] = true
+		done[domain] = true
 		out = append(out, best)
 	}
 }
