--- a/internal/core/layout/plan.go
+++ b/internal/core/layout/plan.go
@@ -133,6 +133,11 @@
 		out = append(out, Assignment{Worker: w.ID, Range: r})
 	}
 	out = append(out, c.extensions(engine, settled)...)
+	return append(out, c.moves(s.movable(now, c, workers, settled, leaving, out))...)
+}
+
+// movable returns the workers that may leave their layers for others that their domain lacks.
+func (s *System) movable(now time.Time, c *cover, workers, settled, leaving []Worker, out []Assignment) []Worker {
 	moving := map[string]bool{}
 	for _, w := range workers {
 		// A worker that moves is out of service for seconds, so that a domain moves one at a time.
@@ -140,19 +145,19 @@
 	}
 	var movable []Worker
 	for _, w := range settled {
-		if moving[w.Domain] {
+		since, lacking := s.gaps[w.Domain]
+		if !lacking || moving[w.Domain] || assigned(out, w.ID) {
 			continue
 		}
-		since, lacking := s.gaps[w.Domain]
 		wait := returnWait
 		if c.lacksFor(leaving, w.Domain) {
 			wait = leaveWait
 		}
-		if lacking && now.Sub(since) >= wait && !assigned(out, w.ID) {
+		if now.Sub(since) >= wait {
 			movable = append(movable, w)
 		}
 	}
-	return append(out, c.moves(movable)...)
+	return movable
 }
 
 // lacksFor reports whether a domain lacks layers since workers leave, which will not come back.
--- a/internal/core/path/silence.go
+++ b/internal/core/path/silence.go
@@ -27,6 +27,8 @@
 	// three heartbeats of about a second.
 	suspicion    = 1500 * time.Millisecond
 	maxSuspicion = 12 * time.Second
+	// maxSuspicionShift doubles a suspicion beyond its longest time.
+	maxSuspicionShift = 5
 	// maxStallShift keeps the growing limit below the time after which callers give up.
 	maxStallShift = 3
 	// failureSmoothing is the weight of the newest request in a worker's share of failures.
@@ -107,7 +109,7 @@
 			return
 		}
 		w.trial, w.suspectedAt = "", now
-		w.suspectUntil = now.Add(min(suspicion<<min(w.suspicions, 5), maxSuspicion))
+		w.suspectUntil = now.Add(min(suspicion<<min(w.suspicions, maxSuspicionShift), maxSuspicion))
 		w.suspicions++
 		return
 	}
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingplank/internal/core/balance"
 	"waxwingplank/internal/core/deployment"
 	"waxwingplank/internal/core/path"
@@ -255,11 +256,8 @@
 
 // point places a request between 0 and 1 by its id, so that its service is the same on every host.
 func point(id string) float64 {
-	h := fnv.New64a()
-	// Writing to a hash never fails.
-	_, _ = h.Write([]byte(id)) //nolint:errcheck // never fails
 	const bits = 53
-	return float64(h.Sum64()>>(64-bits)) / float64(uint64(1)<<bits)
+	return float64(xxhash.Sum64String(id)>>(64-bits)) / float64(uint64(1)<<bits)
 }
 
 func (f *Forwarder) endpoint(id string) deployment.Endpoint {
--- /dev/null
+++ b/internal/daemon/forward/recover.go
@@ -0,0 +1,120 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"waxwingplank/internal/core/path"
+)
+
+// recover moves a stream that has fallen silent to other workers: by a detour where its first worker lives,
+// else by resuming it.
+func (s *streamRun) recover(ctx context.Context, st path.Stalled) {
+	s.f.mu.Lock()
+	detour := s.models.Detour(time.Now(), s.call.ID, st.Suspects)
+	e := s.f.byID[s.attempt.path[0].Worker]
+	s.f.mu.Unlock()
+	names := make([]string, 0, len(st.Suspects))
+	for w := range st.Suspects {
+		names = append(names, w)
+		s.avoid[w] = true
+	}
+	s.log("stream silent", map[string]any{
+		fieldPath: s.attempt.path.String(), "suspects": names, "silence_ms": st.Silence.Milliseconds(),
+		fieldEvents: s.events, "detour": detour.String(),
+	})
+	if len(detour) > 0 {
+		callCtx, cancel := context.WithTimeout(ctx, rerouteTimeout)
+		err := s.f.cfg.Endpoints.Reroute(callCtx, e, s.call.ID, detour)
+		cancel()
+		if err == nil {
+			s.f.mu.Lock()
+			s.models.Reroute(time.Now(), s.call.ID, detour)
+			s.f.mu.Unlock()
+			s.attempt.path = detour
+			s.log("stream rerouted", map[string]any{fieldPath: detour.String()})
+			return
+		}
+		s.log("reroute failed", map[string]any{fieldError: err.Error()})
+	}
+	s.count(true)
+	if !s.route.Idempotent() || !s.mayRepeat(time.Now()) {
+		// The sending in progress may still go on.
+		return
+	}
+	if p, d, refusal := s.place(false); refusal == path.Accepted {
+		s.dropSilent()
+		s.silent = s.attempt
+		s.launch(ctx, p, d)
+	}
+}
+
+// resume sends the call again after the sending in progress ended, or ends the call.
+func (s *streamRun) resume(ctx context.Context, cause string) bool {
+	s.attempt.cancel()
+	if s.begun && (!s.route.Idempotent() || !s.numbers) {
+		s.finish(cause, retryFull)
+		return true
+	}
+	if !s.mayRepeat(time.Now()) {
+		s.finish(cause, retryFull)
+		return true
+	}
+	return !s.start(ctx)
+}
+
+// startAgain sends a call again of which nothing was sent; that takes nothing from the budget.
+func (s *streamRun) startAgain(ctx context.Context, cause string) bool {
+	if s.started > maxSends {
+		s.finish(cause, retryFull)
+		return false
+	}
+	return s.start(ctx)
+}
+
+// goBack gives the sending in progress up for the silent one before it.
+func (s *streamRun) goBack(why string) {
+	s.log("sending given up", map[string]any{fieldPath: s.attempt.path.String(), "why": why})
+	s.attempt.cancel()
+	s.attempt, s.silent = s.silent, nil
+	s.f.mu.Lock()
+	s.models.Begin(time.Now(), s.call.ID, s.attempt.path, s.attempt.demand)
+	s.f.mu.Unlock()
+}
+
+func (s *streamRun) dropSilent() {
+	if s.silent != nil {
+		s.silent.cancel()
+		s.silent = nil
+	}
+}
+
+// takeItem hands an item to the sending that it belongs to and reports whether the call is answered.
+func (s *streamRun) takeItem(ctx context.Context, it item) bool {
+	switch {
+	case it.attempt == s.attempt.number:
+		return s.take(ctx, it)
+	case s.silent == nil || it.attempt != s.silent.number:
+		return false
+	case it.err != nil || (it.reply != nil && (it.reply.NotRun || it.reply.Status != http.StatusOK)):
+		s.dropSilent()
+		return false
+	default:
+		s.goBack("the earlier sending goes on")
+		return s.take(ctx, it)
+	}
+}
+
+// sentTo notes whether a worker answered a request as it should.
+func (s *streamRun) sentTo(worker string, answered bool) {
+	s.f.mu.Lock()
+	s.models.Sent(worker, answered)
+	s.f.mu.Unlock()
+}
+
+func (s *streamRun) suspect(name string) {
+	s.f.mu.Lock()
+	s.models.Suspect(time.Now(), name)
+	s.f.mu.Unlock()
+}
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -13,7 +13,7 @@
 	"waxwingplank/internal/core/table"
 )
 
-// file is the settings file; see docs/operations.md for each field.
+// file is the settings file; see docs/OPERATIONS.md for each field.
 type file struct {
 	Host          string       `json:"host"`
 	FailureDomain string       `json:"failure_domain"`
