Log what kept a refused stream off the workers

Cause: the line of a refusal named the cause but not its inputs. Change: a line with the workers that are suspected, refusing or full, and the demand.

--- a/internal/core/path/choose.go
+++ b/internal/core/path/choose.go
@@ -121,7 +121,7 @@
 		if d.Avoid[id] || !w.serving() || (!d.trust && !w.usable(now)) {
 			continue
 		}
-		if used, _ := w.load(s.peers); used+d.tokens()*float64(w.holds.Len()) > w.capacity*fullness {
+		if w.lacks(d, s.peers) {
 			full = true
 			continue
 		}
--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -118,6 +118,12 @@
 	return w.endpoint.State == deployment.Ready && w.holds.Len() > 0
 }
 
+// lacks reports whether the worker has no memory left for a demand.
+func (w *worker) lacks(d Demand, peers int) bool {
+	used, _ := w.load(peers)
+	return used+d.tokens()*float64(w.holds.Len()) > w.capacity*fullness
+}
+
 // waiting returns the worker's backlog at a time.
 func (w *worker) waiting(now time.Time) float64 {
 	return max(w.backlog-float64(now.Sub(w.backlogAt))/float64(time.Millisecond), 0)
--- a/internal/core/path/silence.go
+++ b/internal/core/path/silence.go
@@ -152,6 +152,31 @@
 	return out
 }
 
+// Fullness is what a log line on a refusal tells of the workers.
+type Fullness struct {
+	Workers   int      `json:"workers"`
+	Suspected []string `json:"suspected"`
+	Refusing  []string `json:"refusing"`
+	// Full lists the workers that have no memory left for the demand.
+	Full  []string `json:"full"`
+	Peers int      `json:"peers"`
+}
+
+// Fullness returns why workers could not take a demand.
+func (s *System) Fullness(now time.Time, d Demand) Fullness {
+	out := Fullness{Workers: len(s.order), Suspected: s.Suspected(now), Peers: s.peers}
+	for _, id := range s.order {
+		w := s.workers[id]
+		if now.Before(w.refusedUntil) || now.Before(w.toldUntil) {
+			out.Refusing = append(out.Refusing, id)
+		}
+		if w.lacks(d, s.peers) {
+			out.Full = append(out.Full, id)
+		}
+	}
+	return out
+}
+
 // Tick returns the streams that have fallen silent since the last call.
 func (s *System) Tick(now time.Time) []Stalled {
 	var out []Stalled
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -151,6 +151,7 @@
 			if refusal == path.Uncovered {
 				after = retryUncovered
 			}
+			s.logNoPath(refusal)
 			s.finish(string(refusal), after+time.Duration(rand.Float64()*float64(after)))
 			return false
 		}
@@ -163,6 +164,17 @@
 	}
 }
 
+// logNoPath writes what kept a request off the workers.
+func (s *streamRun) logNoPath(refusal path.Refusal) {
+	s.f.mu.Lock()
+	d := s.demand()
+	fullness := s.models.Fullness(time.Now(), d)
+	s.f.mu.Unlock()
+	s.log("no path", map[string]any{
+		"cause": string(refusal), "prompt": d.Prompt, "answer": d.Answer, "avoid": len(d.Avoid), "state": fullness,
+	})
+}
+
 // place chooses a path and charges it.
 func (s *streamRun) place(anew bool) (path.Path, path.Demand, path.Refusal) {
 	s.f.mu.Lock()
