--- a/internal/daemon/forward/metrics.go
+++ b/internal/daemon/forward/metrics.go
@@ -66,8 +66,8 @@
 		name, label string
 		counts      *expvar.Map
 	}{
-		{"waxwingplank_answers_by_host_total", "cause", m.refused},
-		{"waxwingplank_answers_cut_short_total", "cause", m.aborted},
+		{"waxwingplank_answers_by_host_total", fieldCause, m.refused},
+		{"waxwingplank_answers_cut_short_total", fieldCause, m.aborted},
 		{"waxwingplank_answers_total", "kind", m.answered},
 	} {
 		var err error
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -156,7 +156,7 @@
 
 // answer gives an answer of this host's own.
 func (r *run) answer(status int, cause string) {
-	fields := map[string]any{fieldStatus: status, "cause": cause, fieldSends: r.sends, "runs": r.runs}
+	fields := map[string]any{fieldStatus: status, fieldCause: cause, fieldSends: r.sends, "runs": r.runs}
 	if r.route != nil {
 		fields["route"], fields["config"] = r.route.Name, r.version
 	}
@@ -194,7 +194,7 @@
 
 // abort closes the caller's connection, so that an answer cut short can't be taken for a whole one.
 func (r *run) abort(cause string) {
-	r.log("answer cut short", map[string]any{"cause": cause, fieldSends: r.sends, "runs": r.runs})
+	r.log("answer cut short", map[string]any{fieldCause: cause, fieldSends: r.sends, "runs": r.runs})
 	r.f.cfg.Metrics.Aborted(cause)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -171,7 +171,7 @@
 	fullness := s.models.Fullness(time.Now(), d)
 	s.f.mu.Unlock()
 	s.log("no path", map[string]any{
-		"cause": string(refusal), "prompt": d.Prompt, "answer": d.Answer, "avoid": len(d.Avoid), "state": fullness,
+		fieldCause: string(refusal), "prompt": d.Prompt, "answer": d.Answer, "avoid": len(d.Avoid), "state": fullness,
 	})
 }
 
--- a/internal/daemon/forward/types.go
+++ b/internal/daemon/forward/types.go
@@ -90,4 +90,5 @@
 	fieldPath     = "path"
 	fieldStatus   = "status"
 	fieldEndpoint = "endpoint"
+	fieldCause    = "cause"
 )
