Send hosts the newer configuration with reports, too

Callers of hosts that the store turned away got 401 and 404 for keys and routes that had been added since, for as long as the store did so (CONFIG).

Cause: of two hosts in a mesh, and of two first hubs, one reports and the other responds, and only responses carried the configuration and the list of endpoints. The host with the highest address reports to nobody, so no peer could help it. A host now sends what its peer lacks after a response that shows it, under the same conditions as in a response.

--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -339,9 +339,12 @@
 func (d *Daemon) HandleState(_ context.Context, from *exchange.State) (*exchange.State, error) {
 	now := time.Now()
 	d.hosts.receive(from, now)
+	d.view.receiveReport(from)
 	s := d.state(now)
 	d.hosts.respond(s, from, now)
-	d.view.addNewer(s, from)
+	if newer := d.view.newerFor(from); newer != nil {
+		s.Newer = *newer
+	}
 	return s, nil
 }
 
--- a/internal/daemon/edge/hosts.go
+++ b/internal/daemon/edge/hosts.go
@@ -210,21 +210,35 @@
 }
 
 func (h *hosts) report(ctx context.Context, t roster.Target) {
+	answer, err := h.exchange(ctx, t, nil)
+	if err == nil {
+		if newer := h.view.newerFor(answer); newer != nil {
+			_, err = h.exchange(ctx, t, newer)
+		}
+	}
+	// The roster treats an unresponsive host as down. A log line for each attempt would add nothing.
+	h.mu.Lock()
+	h.roster.Done(time.Now(), t.Address, err == nil)
+	h.mu.Unlock()
+}
+
+// exchange sends this host's state to a target, with what the target lacks, and handles the response.
+func (h *hosts) exchange(ctx context.Context, t roster.Target, newer *exchange.Newer) (*exchange.State, error) {
 	sent := time.Now()
 	state := h.self()
+	if newer != nil {
+		state.Newer = *newer
+	}
 	h.mu.Lock()
 	state.Report = h.roster.NewReport(sent, t, state.Usage)
 	h.mu.Unlock()
 	answer, err := h.client.SendState(ctx, t.Address, state)
-	h.mu.Lock()
-	h.roster.Done(time.Now(), t.Address, err == nil)
-	h.mu.Unlock()
 	if err != nil {
-		// The roster treats an unresponsive host as down. A log line for each attempt would add nothing.
-		return
+		return nil, err
 	}
 	h.receive(answer, sent)
 	h.view.receive(answer, sent)
+	return answer, nil
 }
 
 // receive handles the state of a peer, sent at the given time or later.
--- a/internal/daemon/edge/view.go
+++ b/internal/daemon/edge/view.go
@@ -148,6 +148,19 @@
 	}
 }
 
+// receiveReport handles the configuration and the endpoints in a peer's report. The report may have been on its way for long,
+// so its ages confirm nothing, and a host that has just started waits for a response.
+func (v *view) receiveReport(from *exchange.State) {
+	if len(from.Config) > 0 && v.hasConfig() {
+		v.setConfig(from.Config, "peer")
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if from.Endpoints != nil && v.listed {
+		v.applySnapshot(from.Endpoints)
+	}
+}
+
 // trusts reports whether a host without data takes a peer's data of this age.
 func (v *view) trusts(now time.Time, ageMs int64) bool {
 	return roster.Age(ageMs) <= v.trustedAge || now.Sub(v.startTime) > staleStartWait
@@ -292,21 +305,23 @@
 	}
 }
 
-// addNewer adds the configuration and the changes of endpoints that the peer lacks to the response, if the peer
-// follows this host, or if the store has not confirmed the peer's own for unconfirmedAge.
-func (v *view) addNewer(to *exchange.State, from *exchange.State) {
+// newerFor returns the configuration and the changes of endpoints that a peer lacks, or nil. The peer gets them if it follows
+// other hosts, or if the store has not confirmed its own for unconfirmedAge.
+func (v *view) newerFor(peer *exchange.State) *exchange.Newer {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	unconfirmed := func(ageMs int64) bool { return from.Follows || ageMs > unconfirmedAge.Milliseconds() }
-	if v.table != nil && from.ConfigVersion < v.table.Version() && unconfirmed(from.ConfigAgeMs) {
-		to.Config = v.config
+	unconfirmed := func(ageMs int64) bool { return peer.Follows || ageMs > unconfirmedAge.Milliseconds() }
+	var out exchange.Newer
+	if v.table != nil && peer.ConfigVersion < v.table.Version() && unconfirmed(peer.ConfigAgeMs) {
+		out.Config = v.config
 	}
-	if !v.listed || from.EndpointsRevision > v.revision || !unconfirmed(from.EndpointsAgeMs) && !from.WantNewer {
-		return
+	if v.listed && peer.EndpointsRevision <= v.revision && (unconfirmed(peer.EndpointsAgeMs) || peer.WantNewer) {
+		out.Endpoints = v.snapshotSince(peer.EndpointsRevision)
 	}
-	if s := v.snapshotSince(from.EndpointsRevision); s != nil {
-		to.Endpoints = s
+	if out.Config == nil && out.Endpoints == nil {
+		return nil
 	}
+	return &out
 }
 
 // snapshotSince returns the changes after a revision, the complete list if they are not known, or nil if there are
--- a/internal/peer/exchange/state.go
+++ b/internal/peer/exchange/state.go
@@ -17,6 +17,12 @@
 	Removed []string `json:"removed,omitempty"`
 }
 
+// Newer is the configuration and the endpoints that a host sends to a peer whose own are older.
+type Newer struct {
+	Config    json.RawMessage `json:"config,omitempty"`
+	Endpoints *Snapshot       `json:"endpoints,omitempty"`
+}
+
 // State is the message that one host sends to another.
 type State struct {
 	roster.Report
@@ -30,9 +36,7 @@
 	EndpointsDigest uint64 `json:"endpoints_digest"`
 	// Follows is true if the sender receives both from other hosts instead of the store.
 	Follows bool `json:"follows,omitempty"`
-	// Config and Endpoints are set in a response to a peer whose own are older.
-	Config    json.RawMessage `json:"config,omitempty"`
-	Endpoints *Snapshot       `json:"endpoints,omitempty"`
+	Newer
 	// WantNewer asks the receiver for endpoints that the store has confirmed more recently than the sender's.
 	WantNewer bool `json:"want,omitempty"`
 	// Marks lists the requests that crashed the endpoints on which they ran.
