Ask the store again at once after a call without an answer

After an outage in which the store did not answer, hosts served by an older configuration for up to 3.45 s, while calm hosts must be up to date after 3 s (CONFIG).

Cause: a watch without an answer lasts 2.7 s, and the delay that limits the rate of failed calls, up to 0.75 s, came on top. The delay now starts with the call, and while the store is unavailable watches wait no longer than it.

Evidence: TestStoreAnswersAgain failed before (not up to date 3 s after the end of the outage) and passes now.

--- a/internal/daemon/follow/follow.go
+++ b/internal/daemon/follow/follow.go
@@ -108,7 +108,8 @@
 				return
 			}
 			f.recordFailure(err)
-			delay = f.backoff()
+			// A call that got no response has waited already.
+			delay = max(f.backoff()-time.Since(sent), f.cfg.Interval())
 		} else {
 			f.recordSuccess(sent)
 			changed = f.expire(time.Now()) || changed
@@ -195,7 +196,8 @@
 		return true, nil
 	}
 	wait := f.cfg.WatchTimeout()
-	if len(f.missing) > 0 {
+	if f.failing || len(f.missing) > 0 {
+		// An unanswered call delays the next one, so that a short wait shows sooner that the store is back.
 		wait = min(wait, f.cfg.RetryDelay())
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.CallMargin)
