--- a/internal/daemon/forward/crashes_test.go
+++ b/internal/daemon/forward/crashes_test.go
@@ -48,3 +48,35 @@
 		})
 	}
 }
+
+// Guards against hosts that never learn which requests crash endpoints, because the marks pass a hub.
+func TestHubPassesMarksOn(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		t.Run(fmt.Sprintf("receiver has just started: %t", started), func(t *testing.T) {
+			is := is.New(t)
+			newHost := func() *Forwarder {
+				return New(Config{Endpoints: refusingEndpoints{}, Log: noLog{}, Metrics: NewMetrics()})
+			}
+			first, hub, other := newHost(), newHost(), newHost()
+			for i := range 3 {
+				id := fmt.Sprintf("e-%d", i)
+				e := deployment.Endpoint{ID: id, State: deployment.Ready, StartedMs: 1}
+				first.SetEndpoints([]deployment.Endpoint{e})
+				r := &run{f: first, call: &Call{ID: "copy-" + id, Method: "POST", Target: "/x"}}
+				r.identify()
+				r.recordStart(id)
+				r.recordEnd(attemptFailed)
+				first.SetEndpoints(nil)
+			}
+			hub.AddMarks(first.Marks())
+			if started {
+				hub.crashes.marks = map[markKey]reportedMark{}
+				hub.RepeatRefusals()
+			}
+			other.AddMarks(hub.Marks())
+			r := &run{f: other, call: &Call{ID: "again", Method: "POST", Target: "/x"}}
+			r.identify()
+			is.True(r.crashesEndpoints())
+		})
+	}
+}
