Count crashes late in a response against its request, too

Cause: a run that had received events for 500 ms was no suspect of a later crash. That was meant for sound requests that were on two crashing workers. Before the attempts that the ended worker had turned away were blamed in its place, which hid the fault. Such a crash now gives a weaker mark: three crashes of any kind refuse a request, or two early ones.

Evidence: TestRequestThatCrashesWorkers failed before (10 and 12 workers crash, 4 and 6 sends past the bound of 3, 36 of 87 sound requests served in the worse case); now at most 4 workers crash in each case, no send is past the bound, and all sound requests are served after it.

--- a/internal/core/quarantine/event.go
+++ b/internal/core/quarantine/event.go
@@ -35,6 +35,8 @@
 	At          time.Time
 	// Cleared means that the request completed at that time, which removes all earlier marks.
 	Cleared bool
+	// Late means that the request had run for some time when the endpoint crashed, which is weaker evidence.
+	Late bool
 	// Part is true if the fingerprint is that of a part of prompts; Depth is the place of the part in prompts, from 0.
 	Part  bool
 	Depth int
@@ -58,6 +60,9 @@
 // Cleared reports whether the mark clears earlier ones.
 func (m Mark) Cleared() bool { return m.cfg.Cleared }
 
+// Late reports whether the request had run for some time when the endpoint crashed.
+func (m Mark) Late() bool { return m.cfg.Late }
+
 // Part reports whether the mark is about a part of prompts.
 func (m Mark) Part() bool { return m.cfg.Part }
 
@@ -93,7 +98,8 @@
 	return e
 }
 
-// Ran reports that a stream has received its response for some time, so that its request does not crash its endpoint.
+// Ran reports that a stream has received its response for some time. Parts of its prompt then do not crash endpoints, and a later
+// crash is weaker evidence against the request.
 type Ran struct{ stream table.StreamID }
 
 // NewRan returns the event.
--- a/internal/core/quarantine/request.go
+++ b/internal/core/quarantine/request.go
@@ -17,8 +17,8 @@
 // liveCrashes returns the crashes whose marks have not expired, sorted.
 func (r *request) liveCrashes(now time.Time, lifetime time.Duration) []CrashID {
 	var out []CrashID
-	for c, at := range r.marks {
-		if now.Sub(at) < lifetime {
+	for c, m := range r.marks {
+		if now.Sub(m.at) < lifetime {
 			out = append(out, c)
 		}
 	}
@@ -26,9 +26,19 @@
 	return out
 }
 
+// onlyLate reports whether the request had run for some time in all its crashes.
+func (r *request) onlyLate() bool {
+	for _, m := range r.marks {
+		if !m.late {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *request) sharesCrash(now time.Time, lifetime time.Duration, crashes []CrashID) bool {
 	for _, c := range crashes {
-		if at, ok := r.marks[c]; ok && now.Sub(at) < lifetime {
+		if m, ok := r.marks[c]; ok && now.Sub(m.at) < lifetime {
 			return true
 		}
 	}
@@ -41,8 +51,8 @@
 		return false
 	}
 	r.clearedAt = at
-	for c, t := range r.marks {
-		if !t.After(at) {
+	for c, m := range r.marks {
+		if !m.at.After(at) {
 			delete(r.marks, c)
 		}
 	}
@@ -50,32 +60,40 @@
 	return true
 }
 
-// updateRefusal computes the end of the refusal. The refusal starts at the last mark that has another
-// mark within one lifetime before it. The result depends on the marks alone, so that hosts that merge
-// the same marks in a different order agree.
+// updateRefusal computes the end of the refusal. The refusal starts at the last mark that has, with those within one lifetime
+// before it, enough marks. The result depends on the marks alone, so that hosts that merge the same marks in a different order
+// agree.
 func (r *request) updateRefusal(lifetime time.Duration) {
-	times := make([]time.Time, 0, len(r.marks))
-	for _, at := range r.marks {
-		times = append(times, at)
+	var early, all []time.Time
+	for _, m := range r.marks {
+		all = append(all, m.at)
+		if !m.late {
+			early = append(early, m.at)
+		}
 	}
+	r.refusedUntil = later(refusalEnd(early, marksToRefuse, lifetime), refusalEnd(all, anyMarksToRefuse, lifetime))
+}
+
+// refusalEnd returns the end of the refusal for which a number of marks within one lifetime is enough, or the zero time.
+func refusalEnd(times []time.Time, enough int, lifetime time.Duration) (end time.Time) {
 	slices.SortFunc(times, time.Time.Compare)
-	r.refusedUntil = time.Time{}
-	for i := marksToRefuse - 1; i < len(times); i++ {
-		if times[i].Sub(times[i-marksToRefuse+1]) < lifetime {
-			r.refusedUntil = times[i].Add(lifetime)
+	for i := enough - 1; i < len(times); i++ {
+		if times[i].Sub(times[i-enough+1]) < lifetime {
+			end = times[i].Add(lifetime)
 		}
 	}
+	return end
 }
 
-// maxMarksKept bounds the memory of an entry. Two marks are enough to refuse the request.
+// maxMarksKept bounds the memory of an entry. Three marks are enough to refuse the request.
 const maxMarksKept = 8
 
 // trimMarks removes the oldest marks above the bound.
 func (r *request) trimMarks() {
 	for len(r.marks) > maxMarksKept {
 		var oldest CrashID
-		for c, at := range r.marks {
-			if oldest == "" || at.Before(r.marks[oldest]) {
+		for c, m := range r.marks {
+			if oldest == "" || m.at.Before(r.marks[oldest].at) {
 				oldest = c
 			}
 		}
@@ -83,6 +101,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -14,6 +14,8 @@
 	defaultLifetime = 10 * time.Minute
 	// One crash can be a coincidence, and each further attempt can crash another endpoint.
 	marksToRefuse = 2
+	// Requests that run long are on more crashes of other causes, so late marks count only with others.
+	anyMarksToRefuse = 3
 	// An entry takes about 200 bytes, so a full table takes 2 MB of the 32 MB of a host.
 	defaultMaxRequests = 10_000
 	// Two unrelated crashing requests explain at most two crashes without a common request.
@@ -33,9 +35,15 @@
 	FaultyCrashes int
 }
 
+// mark is a crash that a request was on.
+type mark struct {
+	at   time.Time
+	late bool
+}
+
 // request holds the marks and the refusal of one fingerprint.
 type request struct {
-	marks        map[CrashID]time.Time
+	marks        map[CrashID]mark
 	clearedAt    time.Time
 	refusedUntil time.Time
 	lastMarkAt   time.Time
@@ -148,25 +156,29 @@
 	if r == nil {
 		return Verdict{ruling: Clear}
 	}
-	if now.Before(r.refusedUntil) && s.unexplained(now, r) >= marksToRefuse {
+	if now.Before(r.refusedUntil) && s.refuses(now, r) {
 		return Verdict{ruling: Refuse, until: r.refusedUntil, crashes: r.liveCrashes(now, s.cfg.Lifetime)}
 	}
 	crashes := r.liveCrashes(now, s.cfg.Lifetime)
-	if len(crashes) == 0 {
+	if len(crashes) == 0 || r.onlyLate() {
 		return Verdict{ruling: Clear}
 	}
 	return Verdict{ruling: Isolate, crashes: crashes, avoid: s.endpointsSharing(now, f, crashes)}
 }
 
-// unexplained counts the marks of a request whose crashes no refused part explains.
-func (s *System) unexplained(now time.Time, r *request) int {
-	n := 0
-	for c := range r.marks {
-		if !s.parts.explains(now, c) {
-			n++
+// refuses reports whether a request has enough marks whose crashes no refused part explains.
+func (s *System) refuses(now time.Time, r *request) bool {
+	early, all := 0, 0
+	for c, m := range r.marks {
+		if s.parts.explains(now, c) {
+			continue
+		}
+		all++
+		if !m.late {
+			early++
 		}
 	}
-	return n
+	return early >= marksToRefuse || all >= anyMarksToRefuse
 }
 
 // endpointsSharing returns the endpoints that run another request with an unexpired mark from one of
@@ -253,16 +265,14 @@
 		return []Decision{FaultyEndpoint{endpoint: endpoint}}
 	}
 	var marks []Mark
-	for _, f := range s.unmarked(endpoint, suspects) {
-		m := NewMark(MarkConfig{Fingerprint: f, Crash: crash, At: now})
+	for f, early := range s.unmarked(endpoint) {
+		m := NewMark(MarkConfig{Fingerprint: f, Crash: crash, At: now, Late: !early})
 		if s.merge(now, m) {
 			marks = append(marks, m)
 		}
 	}
-	if len(marks) == 0 {
-		return nil
-	}
-	return []Decision{SendMarks{marks: marks}}
+	slices.SortFunc(marks, func(a, b Mark) int { return compareFingerprints(a.cfg.Fingerprint, b.cfg.Fingerprint) })
+	return sendMarks(marks)
 }
 
 // suspects returns the distinct requests on an endpoint that have not run for some time, sorted.
@@ -278,18 +288,18 @@
 	return out
 }
 
-// unmarked returns the suspects with a run on the endpoint that has caused no mark yet. It sets marked
-// on all runs on the endpoint.
-func (s *System) unmarked(id table.EndpointID, suspects []Fingerprint) []Fingerprint {
+// unmarked returns the requests with a run on the endpoint that has caused no mark yet, and whether one of these runs had not
+// run for some time. It sets marked on all runs on the endpoint.
+func (s *System) unmarked(id table.EndpointID) map[Fingerprint]bool {
 	fresh := map[Fingerprint]bool{}
 	for stream, f := range s.running[id] {
 		r := s.streams[stream]
 		if !r.marked {
-			fresh[f] = true
+			fresh[f] = fresh[f] || !r.ran
 		}
 		r.marked = true
 	}
-	return slices.DeleteFunc(slices.Clone(suspects), func(f Fingerprint) bool { return !fresh[f] })
+	return fresh
 }
 
 // explainedElsewhere reports whether a request with a mark from another endpoint explains the crash.
@@ -320,7 +330,7 @@
 	r := s.requests[m.cfg.Fingerprint]
 	if r == nil {
 		s.evictIfFull(now)
-		r = &request{marks: map[CrashID]time.Time{}}
+		r = &request{marks: map[CrashID]mark{}}
 		s.requests[m.cfg.Fingerprint] = r
 	}
 	r.lastMarkAt = later(r.lastMarkAt, at)
@@ -331,14 +341,18 @@
 		return false
 	}
 	old, exists := r.marks[m.cfg.Crash]
-	// The earliest time takes precedence, so that sending a mark between hosts does not extend its lifetime.
-	if exists && !at.Before(old) {
+	merged := mark{at: at, late: m.cfg.Late}
+	if exists {
+		// The earliest time takes precedence, so that sending a mark between hosts does not extend its lifetime.
+		merged = mark{at: earlier(old.at, at), late: old.late && m.cfg.Late}
+	}
+	if exists && merged == old {
 		return false
 	}
-	r.marks[m.cfg.Crash] = at
+	r.marks[m.cfg.Crash] = merged
 	r.trimMarks()
 	r.updateRefusal(s.cfg.Lifetime)
-	return !exists
+	return !exists || old.late != merged.late
 }
 
 // sweepInterval limits how often expired entries are removed. Verdicts ignore expired marks regardless.
--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -25,6 +25,8 @@
 	Crash       string    `json:"crash"`
 	At          time.Time `json:"at"`
 	Cleared     bool      `json:"cleared,omitempty"`
+	// Late means that the request had run for some time when the endpoint crashed.
+	Late bool `json:"late,omitempty"`
 	// Part is true for a mark of a part of prompts; Depth is the place of the part in prompts, from 0.
 	Part  bool `json:"part,omitempty"`
 	Depth int  `json:"depth,omitempty"`
@@ -32,7 +34,7 @@
 
 func encodeMark(m quarantine.Mark) Mark {
 	f := m.Fingerprint()
-	return Mark{Fingerprint: f[:], Crash: string(m.Crash()), At: m.At(), Cleared: m.Cleared(), Part: m.Part(), Depth: m.Depth()}
+	return Mark{Fingerprint: f[:], Crash: string(m.Crash()), At: m.At(), Cleared: m.Cleared(), Late: m.Late(), Part: m.Part(), Depth: m.Depth()}
 }
 
 // decodeMarks leaves out marks whose fingerprint has another length.
@@ -45,7 +47,7 @@
 		}
 		copy(fingerprint[:], m.Fingerprint)
 		out = append(out, quarantine.NewMark(quarantine.MarkConfig{
-			Fingerprint: fingerprint, Crash: quarantine.CrashID(m.Crash), At: m.At, Cleared: m.Cleared, Part: m.Part, Depth: m.Depth,
+			Fingerprint: fingerprint, Crash: quarantine.CrashID(m.Crash), At: m.At, Cleared: m.Cleared, Late: m.Late, Part: m.Part, Depth: m.Depth,
 		}))
 	}
 	return out
