Pass marks of crashing requests on between hosts that do not report to each other

Cause: only marks of parts of prompts were passed on and repeated to hosts that have just started. All new marks of peers are now passed on once, and the marks of refused requests are repeated. Hosts that send their marks to all others (the product's own interface) do not pass on any.

The scripted cases of core/quarantine hold the spreading over two hops.

--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -56,7 +56,7 @@
 	}
 	host, args := words[0], words[2:]
 	if s.hosts[host] == nil {
-		s.hosts[host] = New(Config{})
+		s.hosts[host] = New(Config{PassOn: true})
 	}
 	switch words[1] {
 	case "run":
@@ -80,13 +80,13 @@
 	case "tell", "greet":
 		marks := s.sent[host]
 		if words[1] == "greet" {
-			marks = s.hosts[host].PartRefusals(s.now)
+			marks = s.hosts[host].Refusals(s.now)
 		} else {
 			s.sent[host] = nil
 		}
 		for _, to := range args {
 			if s.hosts[to] == nil {
-				s.hosts[to] = New(Config{})
+				s.hosts[to] = New(Config{PassOn: true})
 			}
 			s.tick(to, NewPeerMarks(marks))
 		}
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -33,6 +33,8 @@
 	Lifetime      time.Duration
 	MaxRequests   int
 	FaultyCrashes int
+	// PassOn makes the system send new marks of peers on, where hosts do not send theirs to all others.
+	PassOn bool
 }
 
 // mark is a crash that a request was on.
@@ -131,21 +133,50 @@
 	return out
 }
 
-// mergePeerMarks merges the marks of a peer. Marks of parts are passed on, because their sender does not report to all hosts.
+// mergePeerMarks merges the marks of a peer.
 func (s *System) mergePeerMarks(now time.Time, marks []Mark) []Decision {
 	var pass []Mark
 	for _, m := range marks {
-		if m.cfg.Part {
+		switch {
+		case m.cfg.Part:
 			pass = append(pass, s.parts.handlePeerMark(now, m)...)
-			continue
+		case s.merge(now, m):
+			pass = append(pass, m)
 		}
-		s.merge(now, m)
+	}
+	if !s.cfg.PassOn {
+		return nil
 	}
 	return sendMarks(pass)
 }
 
-// PartRefusals returns the marks of the parts that are refused, for hosts that have just started.
-func (s *System) PartRefusals(now time.Time) []Mark { return s.parts.refusals(now) }
+// Refusals returns the marks of the parts and of the requests that are refused, for hosts that have just started. Of the
+// requests, it returns those that were marked last, at most maxRepeated.
+func (s *System) Refusals(now time.Time) []Mark {
+	out := s.parts.refusals(now)
+	var refused []Fingerprint
+	for f, r := range s.requests {
+		if now.Before(r.refusedUntil) {
+			refused = append(refused, f)
+		}
+	}
+	slices.SortFunc(refused, func(a, b Fingerprint) int {
+		if c := s.requests[b].lastMarkAt.Compare(s.requests[a].lastMarkAt); c != 0 {
+			return c
+		}
+		return compareFingerprints(a, b)
+	})
+	for _, f := range refused[:min(len(refused), maxRepeated)] {
+		for _, c := range slices.Sorted(maps.Keys(s.requests[f].marks)) {
+			m := s.requests[f].marks[c]
+			out = append(out, NewMark(MarkConfig{Fingerprint: f, Crash: c, At: m.at, Late: m.late}))
+		}
+	}
+	return out
+}
+
+// maxRepeated bounds the requests of which the marks are repeated for a host that has just started.
+const maxRepeated = 256
 
 // Verdict returns the verdict on a request at the given time. parts are the parts of its prompt that other requests share.
 func (s *System) Verdict(now time.Time, f Fingerprint, parts ...Fingerprint) Verdict {
--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -80,7 +80,7 @@
 }
 
 func newCrashTracker(log Logger) *crashTracker {
-	return &crashTracker{log: log, system: quarantine.New(quarantine.Config{}), marks: map[markKey]reportedMark{}}
+	return &crashTracker{log: log, system: quarantine.New(quarantine.Config{PassOn: true}), marks: map[markKey]reportedMark{}}
 }
 
 func (c *crashTracker) tick(now time.Time, events ...quarantine.Event) {
@@ -149,12 +149,12 @@
 	f.crashes.tick(time.Now(), quarantine.NewPeerMarks(decodeMarks(marks)))
 }
 
-// RepeatRefusals reports the marks of refused parts of prompts once more, because a peer has started that knows none.
+// RepeatRefusals reports the marks of refused requests and parts of prompts once more, because a peer has started that knows none.
 func (f *Forwarder) RepeatRefusals() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	f.crashes.report(now, f.crashes.system.PartRefusals(now))
+	f.crashes.report(now, f.crashes.system.Refusals(now))
 }
 
 // recordCrashes attributes the end of endpoints that did not announce that they leave to the requests that ran
