Divide the limits that endpoints name between the hosts

The adapter decodes the limit of each response. core/limit, pure, divides it: few hosts own most of a limit, all others have a tenth of it together, and hosts report to each other what endpoints have said to them. Plain calls, first and later sendings of streams and checks of a worker's pace count.

TestSumOverHostsStaysWithinTheLimit holds the bound as a property, with up to 70 hosts that join, leave and lose reports.

--- a/internal/core/balance/system.go
+++ b/internal/core/balance/system.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"waxwingplank/internal/core/deployment"
+	"waxwingplank/internal/core/limit"
 )
 
 const (
@@ -52,6 +53,8 @@
 type Config struct {
 	// Seed seeds the random choice between equal endpoints.
 	Seed int64
+	// Limits holds the request rates that endpoints have named; nil stands for none.
+	Limits *limit.System
 }
 
 // System balances requests over the endpoints of one plain service.
@@ -59,11 +62,12 @@
 	endpoints map[string]*endpoint
 	order     []string
 	random    *rand.Rand
+	limits    *limit.System
 }
 
 // New returns a system without endpoints.
 func New(cfg Config) *System {
-	return &System{endpoints: map[string]*endpoint{}, random: rand.New(rand.NewSource(cfg.Seed))}
+	return &System{endpoints: map[string]*endpoint{}, random: rand.New(rand.NewSource(cfg.Seed)), limits: cfg.Limits}
 }
 
 // SetEndpoints replaces the endpoints. A restarted endpoint has no failures.
@@ -89,7 +93,7 @@
 	bestCost := 0.0
 	for _, id := range s.order {
 		e := s.endpoints[id]
-		if tried[id] || e.entry.State != deployment.Ready || now.Before(e.pausedUntil) {
+		if tried[id] || e.entry.State != deployment.Ready || now.Before(e.pausedUntil) || !s.limits.Allows(now, id) {
 			continue
 		}
 		cost := s.cost(now, e, domain)
@@ -100,6 +104,7 @@
 	if best == nil {
 		return deployment.Endpoint{}, false
 	}
+	s.limits.Take(now, best.entry.ID)
 	best.running++
 	return best.entry, true
 }
@@ -155,6 +160,21 @@
 	}
 }
 
+// LimitEnd returns when the first endpoint with a limit takes the next request of this host, or the zero time if there is none
+// that is ready and not paused.
+func (s *System) LimitEnd(now time.Time) time.Time {
+	var end time.Time
+	for id, e := range s.endpoints {
+		if e.entry.State != deployment.Ready || now.Before(e.pausedUntil) || s.limits.Allows(now, id) {
+			continue
+		}
+		if next := s.limits.Next(now, id); end.IsZero() || next.Before(end) {
+			end = next
+		}
+	}
+	return end
+}
+
 // PauseEnd returns when the first endpoint takes requests again, or the zero time if some endpoint takes them now or none will.
 func (s *System) PauseEnd(now time.Time) time.Time {
 	var end time.Time
--- a/internal/core/path/choose.go
+++ b/internal/core/path/choose.go
@@ -61,6 +61,21 @@
 	}
 }
 
+// LimitEnd returns when the first of the workers that may begin a path takes the next request of this host, or the zero time if no
+// limit is in the way.
+func (s *System) LimitEnd(now time.Time) time.Time {
+	var end time.Time
+	for id, w := range s.workers {
+		if !w.usable(now) || w.holds.From != 0 || s.limits.Allows(now, id) {
+			continue
+		}
+		if next := s.limits.Next(now, id); end.IsZero() || next.Before(end) {
+			end = next
+		}
+	}
+	return end
+}
+
 // PauseEnd returns when the first of the workers that are paused takes requests again, or the zero time if none is paused.
 func (s *System) PauseEnd(now time.Time) time.Time {
 	var end time.Time
@@ -99,9 +114,11 @@
 		if i > 0 {
 			before = steps[i-1]
 		}
-		step, held := s.segmentHolders(candidates, before, segment, l, d)
+		step, held, limited := s.segmentHolders(now, candidates, before, segment, l, d)
 		if len(step) == 0 {
 			switch {
+			case limited:
+				return nil, Limited
 			case held:
 				return nil, Congested
 			case full:
@@ -120,13 +137,18 @@
 }
 
 // segmentHolders returns the holders of a segment, each with its lowest-cost predecessor. It also reports whether
-// any worker holds the segment at all.
-func (s *System) segmentHolders(candidates []candidate, before []holder, segment deployment.Range, l links, d Demand) (out []holder, held bool) {
+// any worker holds the segment at all, and whether one was left out because this host's share of its limit is used up. Limits
+// apply to the first worker of a path, which receives the request.
+func (s *System) segmentHolders(now time.Time, candidates []candidate, before []holder, segment deployment.Range, l links, d Demand) (out []holder, held, limited bool) {
 	for _, c := range candidates {
 		if c.worker.holds.From > segment.From || c.worker.holds.To < segment.To {
 			continue
 		}
 		held = true
+		if segment.From == 0 && !s.limits.Allows(now, c.worker.endpoint.ID) {
+			limited = true
+			continue
+		}
 		h := holder{worker: c.worker, cost: math.Inf(1), from: -1}
 		if len(before) == 0 {
 			h.cost = s.entryMs(c.worker, d) + c.waitMs
@@ -146,7 +168,7 @@
 		h.cost += c.layerMs * float64(segment.Len())
 		out = append(out, h)
 	}
-	return out, held
+	return out, held, limited
 }
 
 // candidates returns the workers that may be on the path, and whether any was skipped because it has too little
--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -73,6 +73,8 @@
 	Congested Refusal = "links_full"
 	// Paused means that the layers are held by workers that want no requests for some time.
 	Paused Refusal = "workers_paused"
+	// Limited means that this host has used up its share of the limits of all workers that may begin a path.
+	Limited Refusal = "workers_limited"
 )
 
 // maxExtrapolated is the largest number of peers that are assumed to have added the same load as this host. With
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -8,12 +8,15 @@
 	"golang.org/x/time/rate"
 
 	"waxwingplank/internal/core/deployment"
+	"waxwingplank/internal/core/limit"
 )
 
 // Config describes a System.
 type Config struct {
 	// Seed seeds the random jitter of costs.
 	Seed int64
+	// Limits holds the request rates that workers have named; nil stands for none.
+	Limits *limit.System
 }
 
 // System chooses paths over the workers of one model service and tracks the load that this host puts on them.
@@ -23,6 +26,7 @@
 	order   []string
 	streams map[string]*stream
 	random  *rand.Rand
+	limits  *limit.System
 	// peers is the number of other hosts that are assumed to add load like this one, peerCount that of all others.
 	peers     int
 	peerCount int
@@ -45,6 +49,7 @@
 		workers:       map[string]*worker{},
 		streams:       map[string]*stream{},
 		domainLinks:   map[domainPair]*domainLink{},
+		limits:        cfg.Limits,
 		random:        rand.New(rand.NewSource(cfg.Seed)),
 		checks:        rate.NewLimiter(checksPerSecond, checksPerSecond),
 		meanGap:       average{value: float64(initialGap)},
--- a/internal/core/path/usage.go
+++ b/internal/core/path/usage.go
@@ -4,6 +4,8 @@
 	"math"
 	"strings"
 	"time"
+
+	"waxwingplank/internal/core/limit"
 )
 
 // Load is the load of streams on one worker.
@@ -24,14 +26,17 @@
 	Refusing map[string]int64 `json:"refusing,omitempty"`
 	// Slowdowns holds the slowdowns that workers reported to these hosts.
 	Slowdowns map[string]float64 `json:"paces,omitempty"`
+	// Limits holds the latest statements of endpoints of all services to these hosts on their limits.
+	Limits map[string]limit.Report `json:"limits,omitempty"`
 }
 
 // NewUsage returns an empty usage.
 func NewUsage() Usage {
-	return Usage{Workers: map[string]Load{}, LinkRates: map[string]float64{}, Refusing: map[string]int64{}, Slowdowns: map[string]float64{}}
+	return Usage{Workers: map[string]Load{}, LinkRates: map[string]float64{}, Refusing: map[string]int64{}, Slowdowns: map[string]float64{}, Limits: map[string]limit.Report{}}
 }
 
-// Add adds another usage to u. Times and slowdowns are combined by their maximum.
+// Add adds another usage to u. Times and slowdowns are combined by their maximum; of two statements on a limit, the later one
+// counts.
 func (u Usage) Add(other Usage) { u.AddAged(other, 0) }
 
 // AddAged adds a usage that was measured age ago. The times for which refusing workers remain excluded are shorter by
@@ -52,6 +57,12 @@
 	for id, slowdown := range other.Slowdowns {
 		u.Slowdowns[id] = max(u.Slowdowns[id], slowdown)
 	}
+	for id, r := range other.Limits {
+		r.AgeMs += age.Milliseconds()
+		if known, ok := u.Limits[id]; !ok || r.AgeMs < known.AgeMs {
+			u.Limits[id] = r
+		}
+	}
 }
 
 func (p domainPair) name() string { return strings.Join([]string{p.a, p.b}, "|") }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -38,6 +38,8 @@
 	// forgetAfter is the time after which a host that has gone is forgotten. Until then it counts among those that
 	// share the budget for repeats, since it may be partitioned from this host and still running.
 	forgetAfter = 10 * time.Minute
+	// recentTime is how long a host that was not heard of shares the limits of endpoints.
+	recentTime = 15 * time.Second
 )
 
 type entry struct {
@@ -192,6 +194,19 @@
 	return n
 }
 
+// Recent returns the names of the hosts that lived lately, this one included, sorted. A host that others cannot reach may still
+// send requests, so it counts for longer than it takes to count as down.
+func (s *System) Recent(now time.Time) []string {
+	out := []string{s.self.Name}
+	for _, e := range s.entries {
+		if e.registered && now.Sub(e.lastSeen) < recentTime {
+			out = append(out, e.host.Name)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // MayLead reports whether this host is among the few that try to get a duty: the strongest of those that accept
 // calls and reach the store. Hosts that cannot reach each other may all try; the store lets only one succeed.
 func (s *System) MayLead(now time.Time) bool {
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -143,7 +143,7 @@
 	d.incarnation = startTime.UnixNano() //nolint:forbidigo // compared for equality only
 	d.schedule = roster.NewSchedule(roster.ScheduleConfig{ApplyTime: cfg.Settings.applyTime(), FirstStart: cfg.Settings.file.FirstStart})
 	d.forwarder = forward.New(forward.Config{
-		Endpoints: cfg.Workers, Log: decisions{j}, Metrics: d.metrics, Domain: cfg.Settings.file.FailureDomain,
+		Endpoints: cfg.Workers, Log: decisions{j}, Metrics: d.metrics, Host: cfg.Settings.file.Host, Domain: cfg.Settings.file.FailureDomain,
 		Budget: cfg.Settings.budget(startTime), Seed: rand.Int63(),
 	})
 	d.view = &view{
@@ -283,7 +283,7 @@
 		for name, svc := range t.Services() {
 			d.placer.Tick(ctx, time.Now(), svc, byService[name])
 		}
-		d.forwarder.SetHosts(d.hosts.count())
+		d.forwarder.SetHosts(d.hosts.count(), d.hosts.recent())
 	})
 }
 
--- a/internal/daemon/edge/hosts.go
+++ b/internal/daemon/edge/hosts.go
@@ -288,6 +288,13 @@
 	return h.roster.Count(time.Now())
 }
 
+// recent returns the names of the hosts that may send requests to endpoints, this one included.
+func (h *hosts) recent() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.roster.Recent(time.Now())
+}
+
 // role returns this host's part in the exchange of state.
 func (h *hosts) role(now time.Time) roster.Role {
 	h.mu.Lock()
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -11,6 +11,7 @@
 
 	"waxwingplank/internal/core/balance"
 	"waxwingplank/internal/core/deployment"
+	"waxwingplank/internal/core/limit"
 	"waxwingplank/internal/core/path"
 	"waxwingplank/internal/core/retry"
 )
@@ -20,7 +21,8 @@
 	Endpoints Endpoints
 	Log       Logger
 	Metrics   *Metrics
-	// Domain is the failure domain of this host.
+	// Host is the name of this host, Domain its failure domain.
+	Host   string
 	Domain string
 	Budget retry.Config
 	Seed   int64
@@ -41,6 +43,7 @@
 	leaving  map[string]leavingInstance
 	refusing bool
 	crashes  *crashTracker
+	limits   *limit.System
 	// listed is set once there was a list of endpoints. loaded is closed once there is a configuration, too.
 	listed bool
 	loaded chan struct{}
@@ -56,6 +59,7 @@
 		cfg: cfg, hosts: 1, loaded: make(chan struct{}), leaving: map[string]leavingInstance{},
 		models: map[string]*path.System{}, plain: map[string]*balance.System{},
 		budgets: map[string]*retry.Budget{}, runs: map[string]*run{}, byID: map[string]deployment.Endpoint{}, crashes: newCrashTracker(cfg.Log),
+		limits: limit.New(limit.Config{Self: cfg.Host, Started: time.Now(), Seed: cfg.Seed}),
 	}
 	cfg.Endpoints.OnLeaving(f.recordLeaving)
 	return f
@@ -70,11 +74,11 @@
 	for name, svc := range t.Services() {
 		if svc.Engine != nil && svc.Engine.Layers > 0 {
 			if f.models[name] == nil {
-				f.models[name] = path.New(path.Config{Seed: f.cfg.Seed})
+				f.models[name] = path.New(path.Config{Seed: f.cfg.Seed, Limits: f.limits})
 			}
 			f.models[name].SetEngine(svc.Engine)
 		} else if f.plain[name] == nil {
-			f.plain[name] = balance.New(balance.Config{Seed: f.cfg.Seed})
+			f.plain[name] = balance.New(balance.Config{Seed: f.cfg.Seed, Limits: f.limits})
 		}
 		if f.budgets[name] == nil {
 			f.budgets[name] = retry.NewBudget(f.cfg.Budget)
@@ -93,6 +97,7 @@
 		f.byID[e.ID] = f.withLeaving(e)
 	}
 	f.expireLeaving(time.Now())
+	f.limits.SetEndpoints(list)
 	f.listed = true
 	f.markLoaded()
 	f.recordCrashes(before, f.byID)
@@ -139,11 +144,19 @@
 	}
 }
 
-// SetHosts sets how many hosts share the budget for repeats.
-func (f *Forwarder) SetHosts(n int) {
+// SetHosts sets how many hosts share the budget for repeats, and the names of those that share the limits of endpoints.
+func (f *Forwarder) SetHosts(n int, names []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hosts = n
+	f.limits.SetHosts(time.Now(), names)
+}
+
+// Limited returns the number of endpoints with a limit.
+func (f *Forwarder) Limited() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits.Len()
 }
 
 // SetBudget changes the budget for repeats.
@@ -173,7 +186,7 @@
 	return len(f.runs)
 }
 
-// Usage returns the load that this host's streams put on workers and links.
+// Usage returns the load that this host's streams put on workers and links, and what endpoints have said of their limits.
 func (f *Forwarder) Usage(now time.Time) path.Usage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -181,16 +194,19 @@
 	for _, s := range f.models {
 		s.Usage(now, out)
 	}
+	out.Limits = f.limits.Reports(now)
 	return out
 }
 
-// SetPeerUsage replaces the load that the streams of other hosts put on workers and links.
+// SetPeerUsage replaces the load that the streams of other hosts put on workers and links, and takes over what endpoints have
+// said to them of their limits.
 func (f *Forwarder) SetPeerUsage(now time.Time, u path.Usage, peers int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.models {
 		s.SetPeerUsage(now, u, peers)
 	}
+	f.limits.Merge(now, u.Limits)
 }
 
 // Tick finds stalled streams and notifies their runs. It is called every few ms.
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -78,24 +78,28 @@
 
 // failPlain ends a call to a plain service that got no valid response.
 func (r *run) failPlain(cause string) {
-	now, end := time.Now(), r.pauseEnd()
+	now := time.Now()
+	pauseEnd, limitEnd := r.waitEnds(now)
 	after := retryAfterBusy
 	switch {
 	case cause == causeCrashes:
 		after = retryAfterCrashes
 	case !now.Before(r.deadline):
 		cause = causeDeadline
-	case !end.IsZero() && (cause == causeNoEndpoint || cause == causeRefused):
-		cause, after = causePaused, retryAfterPause(now, end)
+	case !limitEnd.IsZero() && (cause == causeNoEndpoint || cause == causeRefused):
+		cause, after = causeLimited, retryAfterLimit(now, limitEnd)
+	case !pauseEnd.IsZero() && (cause == causeNoEndpoint || cause == causeRefused):
+		cause, after = causePaused, retryAfterPause(now, pauseEnd)
 	}
 	r.fail(cause, after)
 }
 
-// pauseEnd returns when the first endpoint takes requests again if all are paused, or else the zero time.
-func (r *run) pauseEnd() time.Time {
+// waitEnds returns when the first endpoint takes requests again if all are paused, and when the first one does whose limit is used
+// up, or else the zero time.
+func (r *run) waitEnds(now time.Time) (pause, limit time.Time) {
 	r.f.mu.Lock()
 	defer r.f.mu.Unlock()
-	return r.balance.PauseEnd(time.Now())
+	return r.balance.PauseEnd(now), r.balance.LimitEnd(now)
 }
 
 func (r *run) logFailure(e deployment.Endpoint, result balance.Result, answer *bufferedReply, err error) {
@@ -123,6 +127,7 @@
 	r.recordStart(e.ID)
 	end := attemptFailed
 	defer func() { r.recordEnd(end) }()
+	sentAt := time.Now()
 	reply, err := r.f.cfg.Endpoints.Send(ctx, r.newSend(e, nil, r.call.ResumeAfter))
 	if err != nil {
 		sent := r.f.cfg.Endpoints.MayHaveSent(err)
@@ -135,6 +140,7 @@
 		r.runs++
 		return nil, attributeResult(ctx, balance.Failed), err
 	}
+	r.recordLimit(reply, e, sentAt)
 	r.sends++
 	if !reply.NotRun {
 		r.runs++
--- a/internal/daemon/forward/recover.go
+++ b/internal/daemon/forward/recover.go
@@ -76,11 +76,18 @@
 	if !s.canContinue() || !s.consumeRepeat(time.Now()) {
 		return
 	}
-	s.cancelPrevious()
-	s.previous = s.attempt
+	now := time.Now()
 	s.f.mu.Lock()
-	s.models.Begin(time.Now(), s.call.ID, p, d)
+	allowed := s.f.limits.Take(now, p[0].Worker)
+	if allowed {
+		s.models.Begin(now, s.call.ID, p, d)
+	}
 	s.f.mu.Unlock()
+	if !allowed {
+		return
+	}
+	s.cancelPrevious()
+	s.previous = s.attempt
 	s.launch(ctx, p, d)
 }
 
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -52,6 +52,7 @@
 	causeResponseLost = "answer_lost"
 	causeDeadline     = "time_is_up"
 	causePaused       = "endpoints_paused"
+	causeLimited      = "endpoints_limited"
 )
 
 // refusal is a response that guarantees that the request has not run and will not run.
--- a/internal/daemon/forward/slowdown.go
+++ b/internal/daemon/forward/slowdown.go
@@ -20,6 +20,9 @@
 	f.mu.Lock()
 	for _, s := range f.models {
 		for _, id := range s.SlowdownChecks(now) {
+			if !f.limits.Take(now, id) {
+				continue
+			}
 			calls.Add(1)
 			go func() {
 				defer calls.Done()
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -187,6 +187,11 @@
 			s.finish(string(refusal), retryAfterPause(time.Now(), s.pauseEnd()))
 			return false
 		}
+		if refusal == path.Limited && s.limitEnd().After(deadline) {
+			s.logNoPath(refusal)
+			s.finish(string(refusal), retryAfterLimit(time.Now(), s.limitEnd()))
+			return false
+		}
 		if !time.Now().Before(deadline) {
 			after := retryAfterFull
 			if refusal == path.Uncovered {
@@ -212,6 +217,13 @@
 	return s.models.PauseEnd(time.Now())
 }
 
+// limitEnd returns when the first of the workers with limits takes the next request of this host.
+func (s *streamRun) limitEnd() time.Time {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	return s.models.LimitEnd(time.Now())
+}
+
 // logNoPath logs why no path was found for the call.
 func (s *streamRun) logNoPath(refusal path.Refusal) {
 	s.f.mu.Lock()
@@ -236,6 +248,7 @@
 		p, refusal = s.models.Choose(now, d)
 	}
 	if refusal == path.Accepted {
+		s.f.limits.Take(now, p[0].Worker)
 		s.models.Begin(now, s.call.ID, p, d)
 	}
 	return p, d, refusal
@@ -300,11 +313,13 @@
 			return false
 		}
 	}
+	sentAt := time.Now()
 	reply, err := s.f.cfg.Endpoints.Send(ctx, send)
 	if err != nil {
 		put(attemptResult{err: err, ended: true})
 		return
 	}
+	s.recordLimit(reply, send.Endpoint, sentAt)
 	// Who receives a failure reads its body and closes it.
 	failure := !reply.NotRun && !reply.isStream()
 	delivered := put(attemptResult{reply: reply})
--- a/internal/daemon/forward/types.go
+++ b/internal/daemon/forward/types.go
@@ -70,6 +70,11 @@
 	// a pause that means nothing.
 	Pause        time.Duration
 	InvalidPause string
+	// Limit is the rate in requests per second that the endpoint takes from all hosts together, if Limited is set. InvalidLimit is
+	// the text of a limit that means nothing.
+	Limit        float64
+	Limited      bool
+	InvalidLimit string
 	// Verified is true for a response with the endpoint's proof of origin and an unencoded body.
 	Verified bool
 	// CloseDelimited is true if the end of the endpoint's connection is all that marks the end of the body.
