Refuse calls that a leaving host may not finish

Cause: a leaving host took new calls for 0.36 of the grace period whatever their time limit was; one that may last 3 s, taken at 1.2 s of 4 s, was cut at 3.84 s. Calls that can't be continued at another host are now refused from the signal on if their time limit ends after the cut, and new calls are taken for 3 s at most, the time for which callers keep addresses, however long the grace period is.

Evidence: TestStopTakesNoCallsThatItCannotFinish failed before (a call that ran got no answer) and passes now: 12 answered, 37 refused, 11 came when the process was gone; none of the latter two ran. TestStopUnderLoad passes. Not looked at: a second signal, a stop of two hosts, a host whose store is away.

--- a/internal/daemon/edge/leave.go
+++ b/internal/daemon/edge/leave.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// acceptShare is the share of the grace period in which a leaving host still serves new calls: callers keep a
-	// response of the directory for up to three times its TTL.
+	// acceptShare is the share of the grace period in which a leaving host still serves new calls, and acceptTime the longest
+	// time in which it does: callers keep a response of the directory for up to three times its TTL.
 	acceptShare = 0.36
+	acceptTime  = 3 * directoryTTL
 	// refuseShare is the smallest share of the grace period in which a leaving host refuses calls on connections that
 	// are open. Callers that still use them learn in this time to use another host.
 	refuseShare = 0.1
@@ -25,12 +26,13 @@
 	start := time.Now()
 	grace := d.current().grace()
 	d.leaving.Store(true)
+	d.forwarder.SetClosing(start.Add(time.Duration(closeShare * float64(grace))))
 	d.log.WithField("running", d.forwarder.Running()).Info("host leaves")
 	reportCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	d.hosts.reportToAll(reportCtx)
 	cancel()
 	d.leases.Release(leasePlacing)
-	sleep(ctx, time.Until(start.Add(time.Duration(acceptShare*float64(grace)))))
+	sleep(ctx, time.Until(start.Add(min(time.Duration(acceptShare*float64(grace)), acceptTime))))
 	d.forwarder.SetRefusing()
 	if err := s.callersListener.Drain(); err != nil {
 		d.log.WithError(err).Warn("listener not drained")
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -32,15 +32,17 @@
 type Forwarder struct {
 	cfg Config
 
-	mu       sync.Mutex
-	table    *deployment.Table
-	models   map[string]*path.System
-	plain    map[string]*balance.System
-	budgets  map[string]*retry.Budget
-	runs     map[string]*run
-	hosts    int
-	byID     map[string]deployment.Endpoint
-	leaving  map[string]leavingInstance
+	mu      sync.Mutex
+	table   *deployment.Table
+	models  map[string]*path.System
+	plain   map[string]*balance.System
+	budgets map[string]*retry.Budget
+	runs    map[string]*run
+	hosts   int
+	byID    map[string]deployment.Endpoint
+	leaving map[string]leavingInstance
+	// closesAt is when a host that is leaving ends the calls in progress. refusing is set once it refuses all new ones.
+	closesAt time.Time
 	refusing bool
 	crashes  *crashTracker
 	limits   *limit.System
@@ -172,6 +174,14 @@
 	}
 }
 
+// SetClosing sets when this host ends the calls that are still in progress, because it is about to stop. Calls that can't be
+// continued at another host are refused from now on if they may last longer.
+func (f *Forwarder) SetClosing(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closesAt = at
+}
+
 // SetRefusing makes the forwarder refuse new calls, because the host is about to stop.
 func (f *Forwarder) SetRefusing() {
 	f.mu.Lock()
@@ -302,6 +312,10 @@
 		timeout = defaultTimeout
 	}
 	r.deadline = call.Received.Add(timeout)
+	if !f.closesAt.IsZero() && r.deadline.After(f.closesAt) && !r.continuable() {
+		r.refuse(refusal{cause: causeLeaving, retryAfter: retryAfterLeaving})
+		return nil
+	}
 	r.budget.Request(call.Received)
 	f.runs[call.ID] = r
 	return r
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -144,6 +144,9 @@
 	return s
 }
 
+// continuable reports whether a caller whose response is cut off can get the rest of it from another host.
+func (r *run) continuable() bool { return r.route.Kind == deployment.Streaming && r.route.Resumable }
+
 // repeatable reports whether the route, the deadline and the number of attempts allow another send of the call.
 func (r *run) repeatable(now time.Time) bool {
 	if r.streamedBody != nil || r.sends >= maxSends || !now.Before(r.deadline) {
