--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -147,7 +147,7 @@
 		Budget: cfg.Settings.budget(startTime), Seed: rand.Int63(),
 	})
 	d.view = &view{
-		platform: cfg.Platform, log: d.log, undecoded: map[string]int64{}, removals: map[string]int64{},
+		platform: cfg.Platform, log: d.log, leftOut: map[string]int64{}, removals: map[string]int64{},
 		onTable: d.forwarder.SetTable, onEndpoints: d.forwarder.SetEndpoints,
 		startTime: startTime, trustedAge: cfg.Settings.applyTime(),
 	}
--- a/internal/daemon/edge/view.go
+++ b/internal/daemon/edge/view.go
@@ -26,6 +26,8 @@
 	// maxRemovals is the number of removed endpoints that are remembered for hosts with an older list. A host whose
 	// list is older still gets a complete one.
 	maxRemovals = 2000
+	// maxLoggedEntries is the number of entries left out of a list of which each is logged, once as long as it is left out.
+	maxLoggedEntries = 20
 	// staleStartWait is how long a host that has just started ignores a peer's data that the store has not confirmed
 	// lately. Such data may contain removed endpoints and keys; within this time the store or a hub may provide newer.
 	staleStartWait = 2 * time.Second
@@ -46,15 +48,18 @@
 	table           *deployment.Table
 	config          json.RawMessage
 	configConfirmed time.Time
-	// objects are the entries of the endpoints at revision, endpoints those of them that could be decoded.
+	// objects are the entries of the endpoints at revision, decoded those of them that could be decoded, and endpoints those that
+	// can be used with the configuration in force.
 	objects  map[string]follow.Object
 	listed   bool
 	revision int64
 	digest   uint64
 	// differs is set if a peer has another list at the same revision, so that this host needs a complete one.
 	differs   bool
+	decoded   []deployment.Endpoint
 	endpoints []deployment.Endpoint
-	undecoded map[string]int64
+	// leftOut holds the versions of the entries that are left out, by name.
+	leftOut map[string]int64
 	// removals holds the revisions at which entries were found to be removed. Removals at or before removalsFrom
 	// are not known completely.
 	removals     map[string]int64
@@ -98,11 +103,43 @@
 	if v.table != nil && c.Version <= v.table.Version() {
 		return
 	}
+	before := v.table
 	v.table, v.config = deployment.NewTable(c), value
 	v.log.WithFields(logrus.Fields{
 		"version": c.Version, "source": source, "routes": len(c.Routes), "workspaces": len(c.Workspaces),
 	}).Info("configuration in force")
+	if before != nil {
+		// Neither the configuration before nor the new one may get an endpoint that can't be used with it.
+		v.publish(usable(before, v.endpoints, v.table))
+	}
 	v.onTable(v.table)
+	if v.listed {
+		v.publish(usable(v.table, v.decoded))
+	}
+}
+
+// usable returns the endpoints that can be used with a configuration and with each of the others.
+func usable(t *deployment.Table, list []deployment.Endpoint, others ...*deployment.Table) []deployment.Endpoint {
+	out := make([]deployment.Endpoint, 0, len(list))
+	for _, e := range list {
+		ok := t.CheckEndpoint(e) == nil
+		for _, other := range others {
+			ok = ok && other.CheckEndpoint(e) == nil
+		}
+		if ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// publish replaces the endpoints in use.
+func (v *view) publish(list []deployment.Endpoint) {
+	if slices.Equal(list, v.endpoints) {
+		return
+	}
+	v.endpoints = list
+	v.onEndpoints(list)
 }
 
 // endpointsChanged handles a response of the store on the endpoints' entries.
@@ -206,15 +243,24 @@
 		before[e.ID] = e
 	}
 	v.recordRemovals(objects, revision)
-	v.objects, v.revision, v.digest, v.listed, v.endpoints = objects, revision, digestOf(objects), true, nil
-	undecoded := map[string]int64{}
+	v.objects, v.revision, v.digest, v.listed, v.decoded = objects, revision, digestOf(objects), true, nil
+	table := v.table
+	if table == nil {
+		table = deployment.NewTable(deployment.Config{})
+	}
+	v.endpoints = nil
+	leftOut := map[string]int64{}
 	for _, name := range slices.Sorted(maps.Keys(objects)) {
 		o := objects[name]
 		e, err := v.platform.DecodeEndpoint(o.Name, o.Value)
+		if err == nil {
+			v.decoded = append(v.decoded, e)
+			err = table.CheckEndpoint(e)
+		}
 		if err != nil {
-			undecoded[o.Name] = o.Version
-			if v.undecoded[o.Name] != o.Version {
-				v.log.WithError(err).Warn("endpoint's entry not read")
+			leftOut[o.Name] = o.Version
+			if _, known := v.leftOut[o.Name]; !known && len(leftOut) <= maxLoggedEntries {
+				v.log.WithError(err).WithField("endpoint", o.Name).Warn("endpoint's entry left out")
 			}
 			continue
 		}
@@ -228,7 +274,7 @@
 			}).Info("endpoint changed")
 		}
 	}
-	v.undecoded = undecoded
+	v.leftOut = leftOut
 	for id := range before {
 		v.log.WithFields(logrus.Fields{"endpoint": id, "source": source, "revision": revision}).Info("endpoint removed")
 	}
