Send configurations between hosts compressed, and keep a hub whose lists arrive late

Supposed cause: a hub sends each version whole to all its followers at once, about 0.3 MB to each over a link of 20 Mbit/s, which takes longer than the timeout of a report; followers then take the hub for lost. A configuration is now sent compressed, to less than an eighth of its size. Besides, the answer to a report decides whether the receiver is up; sending it newer lists afterwards may fail without that.

Evidence: TestPackedConfigurationIsSmall holds the size, TestUnpackOddValues that a damaged message does no harm.

--- a/internal/daemon/edge/hosts.go
+++ b/internal/daemon/edge/hosts.go
@@ -213,7 +213,9 @@
 	answer, err := h.exchange(ctx, t, nil)
 	if err == nil {
 		if newer := h.view.newerFor(answer); newer != nil {
-			_, err = h.exchange(ctx, t, newer)
+			if _, err := h.exchange(ctx, t, newer); err != nil {
+				h.log.WithError(err).WithField("peer", t.Address).Warn("newer lists not sent to a peer")
+			}
 		}
 	}
 	// The roster treats an unresponsive host as down. A log line for each attempt would add nothing.
--- a/internal/daemon/edge/view.go
+++ b/internal/daemon/edge/view.go
@@ -44,9 +44,10 @@
 	// trustedAge is the age up to which a host that has just started takes a peer's data at once.
 	trustedAge time.Duration
 
-	mu              sync.Mutex
-	table           *deployment.Table
-	config          json.RawMessage
+	mu    sync.Mutex
+	table *deployment.Table
+	// packedConfig is the configuration as it is sent to peers.
+	packedConfig    []byte
 	configConfirmed time.Time
 	// objects are the entries of the endpoints at revision, decoded those of them that could be decoded, and endpoints those that
 	// can be used with the configuration in force.
@@ -91,6 +92,16 @@
 	return a
 }
 
+// setPackedConfig applies a configuration of a peer unless a later one is in force.
+func (v *view) setPackedConfig(packed []byte) {
+	value, err := exchange.Unpack(packed)
+	if err != nil {
+		v.log.WithError(err).Error("peer's configuration not read")
+		return
+	}
+	v.setConfig(value, "peer")
+}
+
 // setConfig applies a configuration unless a later one is in force.
 func (v *view) setConfig(value json.RawMessage, source string) {
 	c, err := v.platform.DecodeConfig(value)
@@ -104,7 +115,11 @@
 		return
 	}
 	before := v.table
-	v.table, v.config = deployment.NewTable(c), value
+	packed, err := exchange.Pack(value)
+	if err != nil {
+		v.log.WithError(err).Error("configuration not packed for peers")
+	}
+	v.table, v.packedConfig = deployment.NewTable(c), packed
 	v.log.WithFields(logrus.Fields{
 		"version": c.Version, "source": source, "routes": len(c.Routes), "workspaces": len(c.Workspaces),
 	}).Info("configuration in force")
@@ -166,7 +181,7 @@
 func (v *view) receive(from *exchange.State, sent time.Time) {
 	configConfirmed := sent.Add(-roster.Age(from.ConfigAgeMs))
 	if len(from.Config) > 0 && (v.hasConfig() || v.trusts(sent, from.ConfigAgeMs)) {
-		v.setConfig(from.Config, "peer")
+		v.setPackedConfig(from.Config)
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -189,7 +204,7 @@
 // so its ages confirm nothing, and a host that has just started waits for a response.
 func (v *view) receiveReport(from *exchange.State) {
 	if len(from.Config) > 0 && v.hasConfig() {
-		v.setConfig(from.Config, "peer")
+		v.setPackedConfig(from.Config)
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -359,7 +374,7 @@
 	unconfirmed := func(ageMs int64) bool { return peer.Follows || ageMs > unconfirmedAge.Milliseconds() }
 	var out exchange.Newer
 	if v.table != nil && peer.ConfigVersion < v.table.Version() && unconfirmed(peer.ConfigAgeMs) {
-		out.Config = v.config
+		out.Config = v.packedConfig
 	}
 	if v.listed && peer.EndpointsRevision <= v.revision && (unconfirmed(peer.EndpointsAgeMs) || peer.WantNewer) {
 		out.Endpoints = v.snapshotSince(peer.EndpointsRevision)
--- a/internal/peer/exchange/state.go
+++ b/internal/peer/exchange/state.go
@@ -19,8 +19,9 @@
 
 // Newer is the configuration and the endpoints that a host sends to a peer whose own are older.
 type Newer struct {
-	Config    json.RawMessage `json:"config,omitempty"`
-	Endpoints *Snapshot       `json:"endpoints,omitempty"`
+	// Config is a configuration that Pack has packed.
+	Config    []byte    `json:"packed_config,omitempty"`
+	Endpoints *Snapshot `json:"endpoints,omitempty"`
 }
 
 // State is the message that one host sends to another.
