--- a/internal/peer/exchange/pack_test.go
+++ b/internal/peer/exchange/pack_test.go
@@ -14,7 +14,7 @@
 	is := is.New(t)
 	var value bytes.Buffer
 	for i := range 1777 {
-		fmt.Fprintf(&value, `{"name":"route-%d","host":"host.example","path_prefix":"/p%x/","kind":"streaming","timeout_ms":20000,"service":"model"},`, i, i*7919)
+		fmt.Fprintf(&value, `{"name":"route-%d","host":"host.example","prefix":"/p%x/","kind":"streaming","timeout_ms":20000,"service":"model"},`, i, i*7919)
 	}
 	packed, err := Pack(value.Bytes())
 	is.NoErr(err)
