Record the attempts of a stream apart

Cause: what happened to an attempt was recorded under the latest one, and the end of the first one when the second began. Each attempt now has its own record, from its start to its own end.

TestRequestThatCrashesWorkers passes.

--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"strconv"
 	"time"
 
 	"waxwingplank/internal/core/deployment"
@@ -55,7 +56,7 @@
 
 // failedAttempt is an attempt that failed and may turn out to have crashed its endpoint.
 type failedAttempt struct {
-	id string
+	id table.StreamID
 	at time.Time
 }
 
@@ -85,7 +86,7 @@
 
 func (c *crashTracker) tick(now time.Time, events ...quarantine.Event) {
 	for len(c.failed) > 0 && now.Sub(c.failed[0].at) > crashReportDelay {
-		events = append(events, quarantine.NewStopped(table.StreamID(c.failed[0].id)))
+		events = append(events, quarantine.NewStopped(c.failed[0].id))
 		c.failed = c.failed[1:]
 	}
 	for _, d := range c.system.Tick(now, events) {
@@ -197,8 +198,8 @@
 	return true
 }
 
-// recordStart records that an attempt starts on endpoints.
-func (r *run) recordStart(endpoints ...string) {
+// recordStart records that an attempt starts on endpoints and returns its ID.
+func (r *run) recordStart(endpoints ...string) table.StreamID {
 	ids := make([]table.EndpointID, len(endpoints))
 	for i, e := range endpoints {
 		ids[i] = table.EndpointID(e)
@@ -206,18 +207,21 @@
 	r.f.mu.Lock()
 	defer r.f.mu.Unlock()
 	incarnation := uint64(r.f.byID[endpoints[0]].StartedMs)
-	r.f.crashes.tick(time.Now(), quarantine.NewStarted(r.attemptID(), r.fingerprint, ids).WithParts(incarnation, r.parts))
+	r.attempts++
+	attempt := table.StreamID(r.call.ID + "/" + strconv.Itoa(r.attempts))
+	r.f.crashes.tick(time.Now(), quarantine.NewStarted(attempt, r.fingerprint, ids).WithParts(incarnation, r.parts))
+	return attempt
 }
 
-// recordRan records that the response to the latest attempt has been received for some time.
-func (r *run) recordRan() {
+// recordRan records that the response to an attempt has been received for some time.
+func (r *run) recordRan(attempt table.StreamID) {
 	r.f.mu.Lock()
 	defer r.f.mu.Unlock()
-	r.f.crashes.tick(time.Now(), quarantine.NewRan(r.attemptID()))
+	r.f.crashes.tick(time.Now(), quarantine.NewRan(attempt))
 }
 
-// recordBroken records how the connection of the latest attempt to an endpoint failed.
-func (r *run) recordBroken(ctx context.Context, endpoint string, sent bool, err error) {
+// recordBroken records how the connection of an attempt to an endpoint failed.
+func (r *run) recordBroken(ctx context.Context, attempt table.StreamID, endpoint string, sent bool, err error) {
 	if ctx.Err() != nil {
 		// The host itself closed the connection.
 		return
@@ -228,7 +232,7 @@
 	case listed && e.State != deployment.Ready:
 		// It had announced its end, which therefore is no crash.
 	case sent:
-		r.f.crashes.tick(time.Now(), quarantine.NewBroken(r.attemptID()))
+		r.f.crashes.tick(time.Now(), quarantine.NewBroken(attempt))
 	case r.f.cfg.Endpoints.ConnectionRefused(err):
 		r.f.crashes.tick(time.Now(), quarantine.NewConnectionRefused(table.EndpointID(endpoint), uint64(e.StartedMs)))
 	}
@@ -246,24 +250,19 @@
 	attemptNotRun attemptEnd = "not_run"
 )
 
-// recordEnd records the end of the latest attempt.
-func (r *run) recordEnd(end attemptEnd) {
+// recordEnd records the end of an attempt.
+func (r *run) recordEnd(attempt table.StreamID, end attemptEnd) {
 	r.f.mu.Lock()
 	defer r.f.mu.Unlock()
 	now := time.Now()
 	switch end {
 	case attemptFailed:
-		r.f.crashes.failed = append(r.f.crashes.failed, failedAttempt{id: string(r.attemptID()), at: now})
+		r.f.crashes.failed = append(r.f.crashes.failed, failedAttempt{id: attempt, at: now})
 	case attemptNotRun:
-		r.f.crashes.tick(now, quarantine.NewStopped(r.attemptID()))
+		r.f.crashes.tick(now, quarantine.NewStopped(attempt))
 	case attemptCompleted:
-		r.f.crashes.tick(now, quarantine.NewRan(r.attemptID()), quarantine.NewStopped(r.attemptID()), quarantine.NewCompleted(r.fingerprint))
+		r.f.crashes.tick(now, quarantine.NewRan(attempt), quarantine.NewStopped(attempt), quarantine.NewCompleted(r.fingerprint))
 	}
-	r.attempts++
-}
-
-func (r *run) attemptID() table.StreamID {
-	return table.StreamID(r.call.ID + "/" + string(rune('a'+r.attempts%26)))
 }
 
 // workersOf returns the IDs of the workers of a path.
--- a/internal/daemon/forward/crashes_test.go
+++ b/internal/daemon/forward/crashes_test.go
@@ -37,9 +37,9 @@
 				f.byID[id] = deployment.Endpoint{ID: id, State: c.state, StartedMs: 1}
 				r := &run{f: f, call: &Call{ID: id, PromptParts: []string{"shared", "own"}}}
 				r.identify()
-				r.recordStart(id)
-				r.recordBroken(context.Background(), id, true, nil)
-				r.recordBroken(context.Background(), id, false, errors.New("refused"))
+				attempt := r.recordStart(id)
+				r.recordBroken(context.Background(), attempt, id, true, nil)
+				r.recordBroken(context.Background(), attempt, id, false, errors.New("refused"))
 				time.Sleep(150 * time.Millisecond) // crashes at one moment count once
 			}
 			r := &run{f: f, call: &Call{ID: "new", PromptParts: []string{"shared", "other"}}}
@@ -64,8 +64,7 @@
 				first.SetEndpoints([]deployment.Endpoint{e})
 				r := &run{f: first, call: &Call{ID: "copy-" + id, Method: "POST", Target: "/x"}}
 				r.identify()
-				r.recordStart(id)
-				r.recordEnd(attemptFailed)
+				r.recordEnd(r.recordStart(id), attemptFailed)
 				first.SetEndpoints(nil)
 			}
 			hub.AddMarks(first.Marks())
@@ -80,3 +79,28 @@
 		})
 	}
 }
+
+// Guards against blaming one attempt of a stream for what happens to another one that runs beside it.
+func TestAttemptsBesideEachOther(t *testing.T) {
+	is := is.New(t)
+	f := New(Config{Endpoints: refusingEndpoints{}, Log: noLog{}, Metrics: NewMetrics()})
+	var list []deployment.Endpoint
+	for i := range 6 {
+		list = append(list, deployment.Endpoint{ID: fmt.Sprintf("e-%d", i), State: deployment.Ready, StartedMs: 1})
+	}
+	f.SetEndpoints(list)
+	for i := range 3 {
+		crashing, other := list[i].ID, list[i+3].ID
+		r := &run{f: f, call: &Call{ID: crashing, PromptParts: []string{"shared", "own"}}}
+		r.identify()
+		stalled := r.recordStart(crashing)
+		r.recordEnd(r.recordStart(other), attemptNotRun) // the stream goes back to the stalled attempt
+		r.recordBroken(context.Background(), stalled, crashing, true, nil)
+		r.recordBroken(context.Background(), stalled, crashing, false, errors.New("refused"))
+		r.recordEnd(stalled, attemptFailed)
+		time.Sleep(150 * time.Millisecond) // crashes at one moment count once
+	}
+	r := &run{f: f, call: &Call{ID: "new", PromptParts: []string{"shared", "other"}}}
+	r.identify()
+	is.True(r.crashesEndpoints())
+}
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -124,14 +124,14 @@
 		fieldEndpoint: e.ID, fieldAddress: e.Address, "route": r.route.Name, "config": r.version, fieldSends: r.sends,
 		fieldParts: r.call.PromptParts,
 	})
-	r.recordStart(e.ID)
+	attempt := r.recordStart(e.ID)
 	end := attemptFailed
-	defer func() { r.recordEnd(end) }()
+	defer func() { r.recordEnd(attempt, end) }()
 	sentAt := time.Now()
 	reply, err := r.f.cfg.Endpoints.Send(ctx, r.newSend(e, nil, r.call.ResumeAfter))
 	if err != nil {
 		sent := r.f.cfg.Endpoints.MayHaveSent(err)
-		r.recordBroken(ctx, e.ID, sent, err)
+		r.recordBroken(ctx, attempt, e.ID, sent, err)
 		if !sent {
 			end = attemptNotRun
 			return nil, balance.Unreached, err
@@ -150,7 +150,7 @@
 	case reply.NotRun:
 		end = attemptNotRun
 	case err != nil:
-		r.recordBroken(ctx, e.ID, true, err)
+		r.recordBroken(ctx, attempt, e.ID, true, err)
 	default:
 		end = attemptCompleted
 	}
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -83,7 +83,7 @@
 	// sentTo holds the IDs of the endpoints to which the call was sent.
 	sentTo map[string]bool
 	// fingerprint identifies the request's content, parts the parts of its prompt that other requests share. attempts
-	// counts the attempts reported to the quarantine.
+	// counts the attempts reported to the quarantine, which their numbers identify.
 	fingerprint quarantine.Fingerprint
 	parts       []quarantine.Fingerprint
 	attempts    int
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -11,6 +11,7 @@
 
 	"waxwingplank/internal/core/deployment"
 	"waxwingplank/internal/core/path"
+	"waxwingplank/internal/core/table"
 )
 
 const (
@@ -47,6 +48,8 @@
 // attempt is one send of a stream's call.
 type attempt struct {
 	number int
+	// id identifies the attempt to the quarantine.
+	id     table.StreamID
 	path   path.Path
 	demand path.Demand
 	cancel context.CancelFunc
@@ -134,7 +137,7 @@
 		if completed {
 			end = attemptCompleted
 		}
-		s.recordEnd(end)
+		s.recordEnd(s.attempt.id, end)
 	}
 }
 
@@ -267,8 +270,8 @@
 
 // launch sends the call on a path. Results arrive in s.results until the attempt is cancelled.
 func (s *streamRun) launch(ctx context.Context, p path.Path, d path.Demand) {
-	if s.attempt != nil {
-		s.recordEnd(s.attempt.failedEnd())
+	if s.attempt != nil && s.attempt != s.previous {
+		s.recordEnd(s.attempt.id, s.attempt.failedEnd())
 	}
 	s.launched++
 	s.attempt = &attempt{number: s.launched, path: p, demand: d, continues: s.eventCount == 0}
@@ -281,7 +284,7 @@
 		fieldPath: p.String(), "route": s.route.Name, "config": s.version, fieldSends: s.sends, "after": s.lastID,
 		"prompt": s.call.PromptTokens, fieldParts: s.call.PromptParts, "left_ms": send.TimeLeft.Milliseconds(),
 	})
-	s.recordStart(workersOf(p)...)
+	s.attempt.id = s.recordStart(workersOf(p)...)
 	go s.pump(ctx, send, s.attempt.number)
 }
 
@@ -369,7 +372,7 @@
 			s.revertToPrevious("it failed")
 			return false
 		}
-		s.recordBroken(ctx, s.attempt.path[0].Worker, sent, result.err)
+		s.recordBroken(ctx, s.attempt.id, s.attempt.path[0].Worker, sent, result.err)
 		s.avoid[s.attempt.path[0].Worker] = true
 		s.recordSend(s.attempt.path[0].Worker, false)
 		s.suspect(s.attempt.path[0].Worker)
@@ -515,7 +518,7 @@
 		a.ranFrom = now
 	case now.Sub(a.ranFrom) >= ranInterval:
 		a.ranFrom = now
-		s.recordRan()
+		s.recordRan(a.id)
 	}
 }
 
