Let only an endpoint's own response end its limit

After a worker had been replaced at its address, the 421 of the new one ended the limit of the old one at this host, and requests to it went on without a limit until the list showed the change.

Cause: a refusal of any status counted as a response of the endpoint itself.

Evidence: TestWhatEndsALimit failed before for a response of another endpoint at the address, and passes now.

--- a/internal/daemon/forward/limit.go
+++ b/internal/daemon/forward/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"net/http"
 	"time"
 
 	"waxwingplank/internal/core/deployment"
@@ -17,7 +18,8 @@
 		r.log("limit ignored", map[string]any{fieldEndpoint: e.ID, "text": reply.InvalidLimit})
 		return
 	}
-	if !reply.Limited && !reply.Verified && !reply.NotRun {
+	genuine := (reply.Verified || reply.NotRun) && reply.Status != http.StatusMisdirectedRequest
+	if !reply.Limited && !genuine {
 		// Only a response of the endpoint itself can show that its limit has ended.
 		return
 	}
