--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -199,6 +199,8 @@
 						f.send(name)
 					}
 				}
+				t.Logf("%.2f of the limit used; %d requests in the worst window, %.0f are allowed",
+					float64(len(f.arrivals))/(limit*(ticks*step).Seconds()), f.worst(), f.bound())
 				is.True(float64(len(f.arrivals)) >= 0.8*limit*(ticks*step).Seconds())
 				is.True(float64(f.worst()) <= f.bound())
 			})
