--- a/internal/core/limit/system.go
+++ b/internal/core/limit/system.go
@@ -20,7 +20,7 @@
 	// endpoint has raised its limit.
 	minRate = 0.05
 	// ownedShare is the share of a limit that its owners may use. All other hosts together have the rest, so that each of
-	// them learns of a change even if it is not told.
+	// them sees a change even if no report reaches it.
 	ownedShare = 0.9
 	// burstTime is the time over which an owner may save up unused requests.
 	burstTime = 500 * time.Millisecond
@@ -74,11 +74,13 @@
 
 // System holds the limits of all endpoints on one host.
 type System struct {
-	cfg       Config
-	random    *rand.Rand
+	cfg    Config
+	random *rand.Rand
+	// instances holds the start of each listed endpoint in Unix milliseconds, entries what endpoints with a limit have said.
 	instances map[string]int64
 	entries   map[string]*entry
-	hosts     []string
+	// hosts are the names of all hosts that may send requests, sorted.
+	hosts []string
 	// ownsShares is set once this host may own limits.
 	ownsShares bool
 }
--- a/internal/daemon/edge/hosts.go
+++ b/internal/daemon/edge/hosts.go
@@ -224,7 +224,7 @@
 	h.mu.Unlock()
 }
 
-// exchange sends this host's state to a target, with what the target lacks, and handles the response.
+// exchange sends this host's state to a target, with newer lists for it unless newer is nil, and handles the response.
 func (h *hosts) exchange(ctx context.Context, t roster.Target, newer *exchange.Newer) (*exchange.State, error) {
 	sent := time.Now()
 	state := h.self()
--- a/internal/daemon/edge/view.go
+++ b/internal/daemon/edge/view.go
@@ -366,8 +366,8 @@
 	}
 }
 
-// newerFor returns the configuration and the changes of endpoints that a peer lacks, or nil. The peer gets them if it follows
-// other hosts, or if the store has not confirmed its own for unconfirmedAge.
+// newerFor returns the configuration and the changes of endpoints that a peer does not have, or nil. The peer gets them if it
+// follows other hosts, or if the store has not confirmed its own for unconfirmedAge.
 func (v *view) newerFor(peer *exchange.State) *exchange.Newer {
 	v.mu.Lock()
 	defer v.mu.Unlock()
