--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -60,9 +60,9 @@
 }
 
 type host struct {
-	name, callers, readiness, directory, settings string
-	cmd                                           *exec.Cmd
-	exited                                        chan struct{}
+	name, callers, readiness, directory, peers, settings string
+	cmd                                                  *exec.Cmd
+	exited                                               chan struct{}
 	// expected is set before the case ends the process.
 	expected bool
 }
@@ -82,7 +82,7 @@
 func (r *rig) startHost(name string, change map[string]any) *host {
 	for range 5 {
 		a := free(5)
-		h := &host{name: name, callers: a[0], readiness: a[1], directory: a[2], settings: filepath.Join(r.dir, name+".json")}
+		h := &host{name: name, callers: a[0], readiness: a[1], directory: a[2], peers: a[3], settings: filepath.Join(r.dir, name+".json")}
 		s := map[string]any{
 			"host": name, "failure_domain": "a", "callers_address": a[0], "readiness_address": a[1], "directory_address": a[2],
 			"peers_address": a[3], "metrics_address": a[4], "seed_addresses": []string{a[3]}, "store_address": r.address,
@@ -184,12 +184,14 @@
 // worker is a stand-in for a worker of the platform. Its connections are read without net/http's server, so that a case can
 // say when bytes are read and sent.
 type worker struct {
-	rig      *rig
-	id       string
-	service  string
-	zone     string
-	kind     string
-	started  int64
+	rig     *rig
+	id      string
+	service string
+	zone    string
+	kind    string
+	started int64
+	// place is for the use of a case.
+	place    int
 	listener net.Listener
 	// serve handles a request whose head was read. It reports whether the connection is kept.
 	serve func(w *worker, q *request) bool
@@ -203,13 +205,19 @@
 }
 
 func (r *rig) startWorker(id, service, kind string, serve func(w *worker, q *request) bool) *worker {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return r.startWorkerAt(id, service, kind, "127.0.0.1:0", serve)
+}
+
+func (r *rig) startWorkerAt(id, service, kind, address string, serve func(w *worker, q *request) bool) *worker {
+	l, err := net.Listen("tcp", address)
 	must(err)
 	w := &worker{
 		rig: r, id: id, service: service, zone: "a", kind: kind, started: time.Now().UnixMilli(), listener: l, serve: serve,
 		conns: map[net.Conn]bool{}, runs: map[string]int{},
 	}
+	r.mu.Lock()
 	r.workers = append(r.workers, w)
+	r.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
