--- a/review/_rig/early.go
+++ b/review/_rig/early.go
@@ -14,11 +14,18 @@
 	cases["empty"] = caseEmpty
 }
 
-// caseEarly sends requests for streams with a long body, in turn with a length and in chunks. With the disruption, workers
-// begin to answer before they have read the whole body, keep the connection and read on. Without it they read it first.
+// caseEarly sends requests with a long body: for streams, in turn with a length and in chunks, and unsafe ones, in chunks.
+// With the disruption, workers begin to answer before they have read the whole body, keep the connection and read on.
+// Without it they read it first.
 func caseEarly(r *rig) bool {
-	const size, early, piece, requests = 200 << 10, 32 << 10, 8 << 10, 6
-	r.configure(1, []route{{name: "drafts", prefix: "/d/", kind: "streaming", service: "model", timeoutMs: 20000, targetMs: 500, attempts: 2, resumable: true}}, 4)
+	const size, early, piece, requests, long = 200 << 10, 32 << 10, 8 << 10, 6, 100 << 10
+	r.configure(1, []route{
+		{name: "drafts", prefix: "/d/", kind: "streaming", service: "model", timeoutMs: 20000, targetMs: 500, attempts: 2, resumable: true},
+		{name: "orders", prefix: "/o/", kind: "unsafe", service: "ledger", timeoutMs: 5000, targetMs: 500, attempts: 1},
+	}, 4)
+	// text is the answer to an unsafe request; the worker sends the first part of it at once.
+	text := bytes.Repeat([]byte("registered "), long/11)
+	const part = 80 << 10
 	due := make([]byte, size)
 	for i := range due {
 		due[i] = "0123456789abcdefghijklmnopqrstuvwxyz"[(i/7+i/1000)%36]
@@ -47,12 +54,17 @@
 			return false
 		}
 		r.logf("worker %s: %s runs, time %d, answer begun after %d bytes", w.id, q.id, w.ran(q.id), len(got))
-		fmt.Fprintf(q.conn, "HTTP/1.1 200 OK\r\nX-Waxwingplank-Request-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", q.id, w.seal())
 		event := func(n int) {
 			text := fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)
 			fmt.Fprintf(q.conn, "%x\r\n%s\r\n", len(text), text)
 		}
-		event(0)
+		stream := w.service == "model"
+		if stream {
+			fmt.Fprintf(q.conn, "HTTP/1.1 200 OK\r\nX-Waxwingplank-Request-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", q.id, w.seal())
+			event(0)
+		} else {
+			fmt.Fprintf(q.conn, "HTTP/1.1 200 OK\r\nX-Waxwingplank-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", q.id, w.seal(), len(text), text[:part])
+		}
 		err := read(size + 1)
 		at := 0
 		for at < min(len(got), size) && got[at] == due[at] {
@@ -71,6 +83,10 @@
 		if !same {
 			changed.Add(1)
 		}
+		if !stream {
+			_, err = q.conn.Write(text[part:])
+			return err == nil
+		}
 		for n := 1; n < 20; n++ {
 			event(n)
 			time.Sleep(10 * time.Millisecond)
@@ -81,19 +97,24 @@
 	for i := range 4 {
 		r.startWorker(fmt.Sprintf("m-%d", i), "model", "card", serve)
 	}
+	r.startWorker("l-0", "ledger", "", serve)
 	h := r.startHost("h0", nil)
 	time.Sleep(8 * time.Second) // the layers are placed, and stability_window_ms has passed
 	for n := range requests {
 		id := fmt.Sprintf("c-%d", n)
 		c, err := dial(h)
 		must(err)
-		chunked := n%2 == 1
+		chunked := n%3 > 0
+		path := "/d/x"
+		if n%3 == 2 {
+			path = "/o/x"
+		}
 		form := fmt.Sprintf("Content-Length: %d\r\n", size)
 		if chunked {
 			form = "Transfer-Encoding: chunked\r\n"
 		}
 		sent := time.Now()
-		c.Write([]byte(head("POST", "/d/x", id, 20*time.Second, "X-Waxwingplank-Token-Count: 800,40\r\n"+form)))
+		c.Write([]byte(head("POST", path, id, 5*time.Second, "X-Waxwingplank-Token-Count: 800,40\r\n"+form)))
 		go func() {
 			for at := 0; at < size; at += piece {
 				b := due[at:min(at+piece, size)]
@@ -109,7 +130,7 @@
 			if chunked {
 				io.WriteString(c, "0\r\n\r\n")
 			}
-			r.logf("client: %s: whole body sent, chunked %t", id, chunked)
+			r.logf("client: %s: whole body sent, path %s, chunked %t", id, path, chunked)
 		}()
 		a := c.read(sent, 5*time.Second)
 		r.logf("client: %s: %v", id, a)
