--- a/review/_rig/poison.go
+++ b/review/_rig/poison.go
@@ -45,6 +45,7 @@
 		}
 		n := w.ran(q.id)
 		if !bytes.Equal(q.body, poison) {
+			r.logf("worker %s: %s runs, time %d", w.id, q.id, n)
 			if !q.work(40 * time.Millisecond) {
 				return false
 			}
@@ -88,9 +89,7 @@
 		sent := time.Now()
 		c.Write(append([]byte(head("POST", "/o/x", id, 1500*time.Millisecond, fmt.Sprintf("Content-Length: %d\r\n", len(body)))), body...))
 		a := c.read(sent, 1500*time.Millisecond)
-		if a.status != http.StatusOK {
-			r.logf("client: %s at %s: %v", id, h.name, a)
-		}
+		r.logf("client: %s at %s: %v", id, h.name, a)
 		return a
 	}
 	for i := range clients {
