--- a/review/_rig/large.go
+++ b/review/_rig/large.go
@@ -6,20 +6,27 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
 func init() { cases["large"] = caseLarge }
 
-// caseLarge sends safe requests with answers of 200 KB from several clients. With the disruption, the host is stopped as
-// planned meanwhile. Only requests that were passed on to a worker count, from the SIGTERM on, as the rule says.
+// caseLarge sends safe requests from several clients. With the disruption, a new version of the configuration moves their
+// route to another service, whose answers have 200 KB; those of the first have 800 bytes. Requests count as cut if they
+// were passed on to a worker and their connection ended without a complete answer.
 func caseLarge(r *rig) bool {
-	const size, clients = 200 << 10, 4
-	r.configure(1, []route{{name: "lookups", prefix: "/l/", kind: "safe", service: "ledger", timeoutMs: 3000, targetMs: 300, attempts: 2}}, 0)
-	data := strings.Repeat("0123456789abcdef", size/16)
-	for i := range 3 {
-		r.startWorker(fmt.Sprintf("l-%d", i), "ledger", "", func(w *worker, q *request) bool {
+	const (
+		clients = 4
+		window  = 3 * time.Second // config_apply_ms + 1 s
+	)
+	configure := func(version int, service string) {
+		r.configure(version, []route{{name: "lookups", prefix: "/l/", kind: "safe", service: service, timeoutMs: 3000, targetMs: 300, attempts: 2}}, 0)
+	}
+	data := map[string]string{"ledger": strings.Repeat("01234567", 100), "archive": strings.Repeat("0123456789abcdef", 200<<6)}
+	configure(1, "ledger")
+	for i := range 6 {
+		service := []string{"ledger", "archive"}[i%2]
+		r.startWorker(fmt.Sprintf("%s-%d", service, i), service, "", func(w *worker, q *request) bool {
 			if q.readBody() != nil {
 				return false
 			}
@@ -28,8 +35,8 @@
 				r.logf("worker %s: %s: connection closed while it runs", w.id, q.id)
 				return false
 			}
-			err := q.respond(http.StatusOK, w.seal(), data)
-			r.logf("worker %s: %s ran, time %d, answer of %d bytes written: %v", w.id, q.id, n, len(data), err)
+			err := q.respond(http.StatusOK, w.seal(), data[w.service])
+			r.logf("worker %s: %s ran, time %d, answer of %d bytes written: %v", w.id, q.id, n, len(data[w.service]), err)
 			return err == nil
 		})
 	}
@@ -37,7 +44,7 @@
 	time.Sleep(4 * time.Second) // stability_window_ms and a margin
 	var mu sync.Mutex
 	var all sync.WaitGroup
-	var term time.Time
+	when := "at other times"
 	counts := map[string]int{}
 	stop := make(chan struct{})
 	for i := range clients {
@@ -48,50 +55,45 @@
 				select {
 				case <-stop:
 					return
-				default:
+				case <-time.After(20 * time.Millisecond):
 				}
 				id := fmt.Sprintf("c%d-%d", i, n)
 				c, err := dial(h)
-				if err != nil {
-					r.logf("client: %s: not connected: %v", id, err)
-					return
-				}
+				must(err)
 				sent := time.Now()
 				c.Write([]byte(head("GET", "/l/x", id, 3*time.Second, "")))
 				a := c.read(sent, 3*time.Second)
 				c.Close()
-				r.logf("client: %s: %v, the worker's body %t", id, a, bytes.Equal(a.body, []byte(data)))
+				right := bytes.Equal(a.body, []byte(data["ledger"])) || bytes.Equal(a.body, []byte(data["archive"]))
+				r.logf("client: %s: %v, a worker's body %t", id, a, right)
 				mu.Lock()
-				when := "before SIGTERM"
-				if !term.IsZero() && sent.Add(a.took).After(term) {
-					when = "from SIGTERM on"
-				}
 				switch {
 				case a.whole:
 					counts[when+": whole"]++
 				case runs(r, id) > 0:
-					counts[when+": passed on and cut"]++
+					counts[when+": cut"]++
 				}
 				mu.Unlock()
-				time.Sleep(20 * time.Millisecond)
 			}
 		}()
 	}
-	time.Sleep(time.Second)
+	time.Sleep(5 * time.Second)
+	mu.Lock()
+	when = "around the configuration"
+	mu.Unlock()
 	if r.trouble {
-		mu.Lock()
-		term = time.Now()
-		mu.Unlock()
-		r.logf("SIGTERM")
-		h.expected = true
-		h.signal(syscall.SIGTERM)
+		configure(2, "archive")
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(window)
 	close(stop)
 	all.Wait()
 	r.logf("answers: %v", counts)
 	fmt.Println(counts)
-	return counts["from SIGTERM on: passed on and cut"] > 0
+	share := func(when string) float64 {
+		cut, whole := float64(counts[when+": cut"]), float64(counts[when+": whole"])
+		return cut / max(cut+whole, 1)
+	}
+	return counts["around the configuration: cut"] > 0 && share("around the configuration") > 3*share("at other times")
 }
 
 // runs returns how often workers have run a request.
