--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-go build -o review/bin/rig ./review/_rig
+go build -o review/bin/rig ./review/.rig
