--- a/review/.rig/rig.go
+++ b/review/.rig/rig.go
@@ -503,7 +503,7 @@
 
 func play() (code int) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		return 2
 	}
 	r := &rig{trouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore(), begun: time.Now()}
@@ -527,7 +527,7 @@
 			fmt.Println(r.dir)
 		}
 	}()
-	r.record, err = os.Create(filepath.Join(os.Args[2], "record.txt"))
+	r.record, err = os.Create(os.Args[2])
 	must(err)
 	defer r.record.Close()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
