--- a/cmd/waxwingplankd/main.go
+++ b/cmd/waxwingplankd/main.go
@@ -5,14 +5,13 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
 	"waxwingplank/internal/daemon/edge"
 	"waxwingplank/internal/daemon/run"
 	"waxwingplank/internal/daemon/settings"
+	"waxwingplank/internal/daemon/signals"
 	"waxwingplank/platform"
 )
 
@@ -28,9 +27,13 @@
 	Entry    bool   `long:"entry" description:"serve as an entry host of the users' platform; the settings file is that of docs/OPERATIONS.md"`
 }
 
-func main() { os.Exit(start()) }
+func main() {
+	stop, hangups := signals.Catch()
+	os.Exit(start(stop, hangups))
+}
 
-func start() int {
+// start runs the daemon until stop ends and returns the exit code of the process.
+func start(stop context.Context, hangups <-chan os.Signal) int {
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
 		if flags.WroteHelp(err) {
@@ -39,7 +42,7 @@
 		return exitSettings
 	}
 	if opts.Entry {
-		return startEntry(opts)
+		return startEntry(stop, hangups, opts)
 	}
 	set, err := settings.Load(opts.Settings)
 	if err != nil {
@@ -54,9 +57,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return exitCode(daemon.Run(ctx))
+	daemon.IgnoreHangups(hangups)
+	return exitCode(daemon.Run(stop))
 }
 
 // exitCode prints the error, if any, and returns the exit code of the process.
@@ -68,8 +70,8 @@
 	return 0
 }
 
-// startEntry runs an entry host of the users' platform and returns the exit code of the process.
-func startEntry(opts options) int {
+// startEntry runs an entry host of the users' platform until stop ends and returns the exit code of the process.
+func startEntry(stop context.Context, hangups <-chan os.Signal, opts options) int {
 	set, err := edge.LoadSettings(opts.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -86,8 +88,6 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	daemon.WatchSettings(ctx, opts.Settings)
-	return exitCode(daemon.Run(ctx))
+	daemon.WatchSettings(stop, hangups, opts.Settings)
+	return exitCode(daemon.Run(stop))
 }
--- a/internal/daemon/edge/reload.go
+++ b/internal/daemon/edge/reload.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,22 +20,21 @@
 	"seed_addresses": true, "memory_mb": true, "budget": true, "directory_ttl_max_s": true, "grace_s": true,
 }
 
-// WatchSettings reloads the settings file on SIGHUP and when it changes, until ctx ends. It catches the signal
-// before it returns, so that SIGHUP no longer ends the process.
-func (d *Daemon) WatchSettings(ctx context.Context, name string) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
+// WatchSettings reloads the settings file on each SIGHUP that hangups receives, and when the file changes. It returns at
+// once. From the end of stop on the settings stay as they are: the grace period of a stop is the one in force when it began.
+func (d *Daemon) WatchSettings(stop context.Context, hangups <-chan os.Signal, name string) {
 	go func() {
-		defer signal.Stop(hangup)
 		ticker := time.NewTicker(settingsCheckInterval)
 		defer ticker.Stop()
 		for {
 			select {
-			case <-ctx.Done():
-				return
-			case <-hangup:
+			case <-hangups:
 			case <-ticker.C:
 			}
+			if stop.Err() != nil {
+				d.log.Info("settings kept while the host leaves")
+				return
+			}
 			set, err := LoadSettings(name)
 			if err != nil {
 				d.log.WithError(err).Error("settings not reloaded")
--- a/internal/daemon/run/drain.go
+++ b/internal/daemon/run/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"time"
 
 	"waxwingplank/internal/core/membership"
@@ -46,6 +47,16 @@
 	}
 }
 
+// IgnoreHangups logs each SIGHUP that hangups receives. Tokens and certificates are reloaded when their files change; the
+// other settings need a restart.
+func (d *Daemon) IgnoreHangups(hangups <-chan os.Signal) {
+	go func() {
+		for range hangups {
+			d.journal.Log().Info("SIGHUP ignored; settings need a restart")
+		}
+	}()
+}
+
 func (d *Daemon) startDrain(cause string) {
 	d.draining.Store(true)
 	d.members.Drain()
--- a/test/failure/failure_test.go
+++ b/test/failure/failure_test.go
@@ -92,6 +92,7 @@
 			"sigstop":      command((*scenario).freeze),
 			"sigcont":      command((*scenario).thaw),
 			"sigterm":      command((*scenario).stop),
+			"signal":       command((*scenario).signal),
 			"stopped":      command((*scenario).stopped),
 			"restart":      command((*scenario).restart),
 			"leaving":      command((*scenario).leaving),
--- a/test/failure/faults_test.go
+++ b/test/failure/faults_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"syscall"
 	"time"
 
 	"waxwingplank/internal/standin/engine"
@@ -60,6 +61,22 @@
 	return nil
 }
 
+// signal sends signals to a process, one after the other: signal HOST HUP TERM gap=10ms.
+func (s *scenario) signal(words []string, o map[string]string) error {
+	p, err := s.process(words[0])
+	if err != nil {
+		return err
+	}
+	numbers := map[string]syscall.Signal{"HUP": syscall.SIGHUP, "TERM": syscall.SIGTERM, "INT": syscall.SIGINT}
+	for _, name := range words[1:] {
+		if err := p.Signal(numbers[name]); err != nil {
+			return err
+		}
+		time.Sleep(durationOption(o, "gap", 10*time.Millisecond))
+	}
+	return nil
+}
+
 func (s *scenario) stopped(words []string, o map[string]string) error {
 	ctx, cancel := context.WithTimeout(s.ctx, durationOption(o, "within", 30*time.Second))
 	defer cancel()
--- a/test/system/process.go
+++ b/test/system/process.go
@@ -50,6 +50,9 @@
 // Thaw continues a frozen process with SIGCONT.
 func (p *Process) Thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
 
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) error { return p.cmd.Process.Signal(signal) }
+
 // Stop sends SIGTERM to the process and waits for its end.
 func (p *Process) Stop(ctx context.Context) error {
 	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
