--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -174,7 +174,7 @@
 // identify computes the fingerprints of the request, which are the same for its repeats, and of the parts of its prompt that
 // other requests share.
 func (r *run) identify() {
-	content := append([]byte(r.call.Method+" "+r.call.Host+r.call.Target+"\n"), r.body...)
+	content := append([]byte(r.call.Method+" "+r.call.Host+r.call.Target+"\n"), r.body.short...)
 	r.fingerprint = quarantine.FingerprintOf(table.ServiceID(r.service), table.WorkspaceID(r.workspace), content)
 	for i, id := range r.call.PromptParts {
 		if i < len(r.call.PromptParts)-1 {
@@ -222,8 +222,8 @@
 
 // recordBroken records how the connection of an attempt to an endpoint failed.
 func (r *run) recordBroken(ctx context.Context, attempt table.StreamID, endpoint string, sent bool, err error) {
-	if ctx.Err() != nil {
-		// The host itself closed the connection.
+	if ctx.Err() != nil || r.body.failure() != nil {
+		// The host itself closed the connection, or the caller broke off its body.
 		return
 	}
 	r.f.mu.Lock()
--- a/internal/daemon/forward/crashes_test.go
+++ b/internal/daemon/forward/crashes_test.go
@@ -35,14 +35,14 @@
 			for i := range 3 {
 				id := fmt.Sprintf("e-%d", i)
 				f.byID[id] = deployment.Endpoint{ID: id, State: c.state, StartedMs: 1}
-				r := &run{f: f, call: &Call{ID: id, PromptParts: []string{"shared", "own"}}}
+				r := &run{f: f, body: &requestBody{}, call: &Call{ID: id, PromptParts: []string{"shared", "own"}}}
 				r.identify()
 				attempt := r.recordStart(id)
 				r.recordBroken(context.Background(), attempt, id, true, nil)
 				r.recordBroken(context.Background(), attempt, id, false, errors.New("refused"))
 				time.Sleep(150 * time.Millisecond) // crashes at one moment count once
 			}
-			r := &run{f: f, call: &Call{ID: "new", PromptParts: []string{"shared", "other"}}}
+			r := &run{f: f, body: &requestBody{}, call: &Call{ID: "new", PromptParts: []string{"shared", "other"}}}
 			r.identify()
 			is.Equal(r.crashesEndpoints(), c.refused)
 		})
@@ -62,7 +62,7 @@
 				id := fmt.Sprintf("e-%d", i)
 				e := deployment.Endpoint{ID: id, State: deployment.Ready, StartedMs: 1}
 				first.SetEndpoints([]deployment.Endpoint{e})
-				r := &run{f: first, call: &Call{ID: "copy-" + id, Method: "POST", Target: "/x"}}
+				r := &run{f: first, body: &requestBody{}, call: &Call{ID: "copy-" + id, Method: "POST", Target: "/x"}}
 				r.identify()
 				r.recordEnd(r.recordStart(id), attemptFailed)
 				first.SetEndpoints(nil)
@@ -73,7 +73,7 @@
 				hub.RepeatRefusals()
 			}
 			other.AddMarks(hub.Marks())
-			r := &run{f: other, call: &Call{ID: "again", Method: "POST", Target: "/x"}}
+			r := &run{f: other, body: &requestBody{}, call: &Call{ID: "again", Method: "POST", Target: "/x"}}
 			r.identify()
 			is.True(r.crashesEndpoints())
 		})
@@ -91,7 +91,7 @@
 	f.SetEndpoints(list)
 	for i := range 3 {
 		crashing, other := list[i].ID, list[i+3].ID
-		r := &run{f: f, call: &Call{ID: crashing, PromptParts: []string{"shared", "own"}}}
+		r := &run{f: f, body: &requestBody{}, call: &Call{ID: crashing, PromptParts: []string{"shared", "own"}}}
 		r.identify()
 		stalled := r.recordStart(crashing)
 		r.recordEnd(r.recordStart(other), attemptNotRun) // the stream goes back to the stalled attempt
@@ -100,7 +100,7 @@
 		r.recordEnd(stalled, attemptFailed)
 		time.Sleep(150 * time.Millisecond) // crashes at one moment count once
 	}
-	r := &run{f: f, call: &Call{ID: "new", PromptParts: []string{"shared", "other"}}}
+	r := &run{f: f, body: &requestBody{}, call: &Call{ID: "new", PromptParts: []string{"shared", "other"}}}
 	r.identify()
 	is.True(r.crashesEndpoints())
 }
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -237,9 +236,16 @@
 
 // Serve handles one call and writes its response.
 func (f *Forwarder) Serve(ctx context.Context, call *Call, w http.ResponseWriter) {
+	body := newRequestBody(call, w)
+	defer body.release()
+	f.serve(ctx, &run{f: f, call: call, w: w, body: body, stalled: make(chan path.Stalled, 1)})
+	body.linger()
+}
+
+func (f *Forwarder) serve(ctx context.Context, r *run) {
 	f.awaitStart(ctx)
-	r := f.admit(call, w)
-	if r == nil {
+	if why := f.admit(r); why != nil {
+		r.reject(why)
 		return
 	}
 	defer f.release(r)
@@ -255,54 +261,49 @@
 	}
 	if r.models != nil {
 		r.serveStream(ctx)
-		return
+	} else {
+		r.servePlain(ctx)
 	}
-	r.servePlain(ctx)
+	r.body.awaitSend(ctx.Done())
 }
 
-// admit returns the run of a call with its route and workspace, or writes a response and returns nil.
-func (f *Forwarder) admit(call *Call, w http.ResponseWriter) *run {
+// admit finds the route and the workspace of a call, or returns why it is rejected.
+func (f *Forwarder) admit(r *run) *rejection {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := &run{f: f, call: call, w: w, stalled: make(chan path.Stalled, 1)}
-	t := f.table
+	call, t := r.call, f.table
 	if t == nil {
-		r.refuse(refusal{cause: causeNoConfig, retryAfter: retryAfterStarting})
-		return nil
+		return &rejection{http.StatusServiceUnavailable, causeNoConfig, retryAfterStarting}
+	}
+	if limit := t.Limits().BodyBytes; limit > 0 {
+		// A chunked body shows its length only as it is read.
+		r.body.limit(limit)
 	}
 	route := t.Route(call.Host, call.Path)
 	if route == nil {
-		r.respond(http.StatusNotFound, causeNoRoute)
-		return nil
+		return &rejection{status: http.StatusNotFound, cause: causeNoRoute}
 	}
+	r.version = t.Version()
 	if t.RequiresKey() && !route.Public {
 		workspace := t.Workspace(call.Key)
 		if workspace == nil {
-			r.respond(http.StatusUnauthorized, causeNoKey)
-			return nil
+			return &rejection{status: http.StatusUnauthorized, cause: causeNoKey}
 		}
 		r.workspace = workspace.Name
 	} else if workspace := t.Workspace(call.Key); workspace != nil {
 		r.workspace = workspace.Name
 	}
 	if limit := t.Limits().BodyBytes; limit > 0 && call.Length > limit {
-		r.respond(http.StatusRequestEntityTooLarge, causeTooLarge)
-		return nil
-	}
-	if limit := t.Limits().BodyBytes; limit > 0 && call.Body != nil {
-		// A chunked body shows its length only as it is read.
-		call.Body = http.MaxBytesReader(w, io.NopCloser(call.Body), limit)
+		return &rejection{status: http.StatusRequestEntityTooLarge, cause: causeTooLarge}
 	}
 	if f.refusing {
-		r.refuse(refusal{cause: causeLeaving, retryAfter: retryAfterLeaving})
-		return nil
+		return &rejection{http.StatusServiceUnavailable, causeLeaving, retryAfterLeaving}
 	}
-	r.route, r.version = route, t.Version()
+	r.route = route
 	r.service = route.Service(hashFraction(call.ID))
 	r.models, r.balance, r.budget = f.models[r.service], f.plain[r.service], f.budgets[r.service]
 	if r.budget == nil {
-		r.refuse(refusal{cause: causeNoService, retryAfter: retryAfterStarting})
-		return nil
+		return &rejection{http.StatusServiceUnavailable, causeNoService, retryAfterStarting}
 	}
 	timeout := route.Timeout
 	if call.Deadline > 0 && (timeout <= 0 || call.Deadline < timeout) {
@@ -313,12 +314,11 @@
 	}
 	r.deadline = call.Received.Add(timeout)
 	if !f.closesAt.IsZero() && r.deadline.After(f.closesAt) && !r.continuable() {
-		r.refuse(refusal{cause: causeLeaving, retryAfter: retryAfterLeaving})
-		return nil
+		return &rejection{http.StatusServiceUnavailable, causeLeaving, retryAfterLeaving}
 	}
 	r.budget.Request(call.Received)
 	f.runs[call.ID] = r
-	return r
+	return nil
 }
 
 func (f *Forwarder) release(r *run) {
--- a/internal/daemon/forward/limit_test.go
+++ b/internal/daemon/forward/limit_test.go
@@ -28,7 +28,7 @@
 			f := New(Config{Endpoints: refusingEndpoints{}, Log: noLog{}, Metrics: NewMetrics(), Host: "h"})
 			e := deployment.Endpoint{ID: "e", State: deployment.Ready, StartedMs: 1}
 			f.SetEndpoints([]deployment.Endpoint{e})
-			r := &run{f: f, call: &Call{ID: "r"}}
+			r := &run{f: f, body: &requestBody{}, call: &Call{ID: "r"}}
 			r.recordLimit(&Reply{Status: http.StatusOK, Verified: true, Limit: 2, Limited: true}, e, time.Now())
 			is.Equal(f.Limited(), 1)
 			r.recordLimit(&c.reply, e, time.Now().Add(time.Second))
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -64,7 +64,7 @@
 			cause = causeCrashes
 			break
 		}
-		if result != balance.Unreached && !r.consumeRepeat(time.Now()) || ctx.Err() != nil || r.streamedBody != nil {
+		if result != balance.Unreached && !r.consumeRepeat(time.Now()) || ctx.Err() != nil || r.body.streamed {
 			break
 		}
 	}
@@ -115,7 +115,7 @@
 
 // tryEndpoint sends the call to one endpoint and reads the reply.
 func (r *run) tryEndpoint(ctx context.Context, e deployment.Endpoint) (*bufferedReply, balance.Result, error) {
-	if r.route.Idempotent() && r.runs+1 < r.route.MaxAttempts && r.streamedBody == nil {
+	if r.route.Idempotent() && r.runs+1 < r.route.MaxAttempts && !r.body.streamed {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, attemptTimeoutFactor*r.route.TargetLatency)
 		defer cancel()
--- a/internal/daemon/forward/recover_test.go
+++ b/internal/daemon/forward/recover_test.go
@@ -31,7 +31,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			s := &streamRun{headRelayed: true, numbered: true, run: &run{
-				f: &Forwarder{hosts: 1}, runs: 1, sends: 1, deadline: now.Add(time.Minute),
+				f: &Forwarder{hosts: 1}, body: &requestBody{}, runs: 1, sends: 1, deadline: now.Add(time.Minute),
 				route:  &deployment.Route{Kind: deployment.Streaming, Resumable: true, MaxAttempts: 2},
 				budget: retry.NewBudget(retry.Config{Window: time.Second, Slack: 10}),
 			}}
@@ -46,7 +46,7 @@
 func TestRepeatAtTheSameEndpoint(t *testing.T) {
 	is := is.New(t)
 	for _, kind := range []deployment.RouteKind{deployment.Safe, deployment.Streaming} {
-		r := &run{call: &Call{}, route: &deployment.Route{Kind: kind}}
+		r := &run{body: &requestBody{}, call: &Call{}, route: &deployment.Route{Kind: kind}}
 		is.True(!r.newSend(deployment.Endpoint{ID: "a"}, nil, "").NewConnection)
 		is.True(!r.newSend(deployment.Endpoint{ID: "b"}, nil, "").NewConnection)
 		is.True(r.newSend(deployment.Endpoint{ID: "a"}, nil, "").NewConnection)
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -21,9 +21,6 @@
 const (
 	// defaultTimeout applies to requests for which neither the caller nor the route sets a timeout.
 	defaultTimeout = 30 * time.Second
-	// maxBufferedBytes is the largest body that is kept, so that it can be sent again. Requests for text are about
-	// 1 KB; 200 at once take 13 MB.
-	maxBufferedBytes = 64 << 10
 	// maxSends bounds how often one request is sent if endpoints state that they did not run it.
 	maxSends = 3
 	// retryAfterStarting is for callers of a host that has no configuration yet.
@@ -63,20 +60,19 @@
 
 // run is the state of a call in progress.
 type run struct {
-	f            *Forwarder
-	call         *Call
-	w            http.ResponseWriter
-	route        *deployment.Route
-	version      int64
-	service      string
-	workspace    string
-	models       *path.System
-	balance      *balance.System
-	budget       *retry.Budget
-	deadline     time.Time
-	body         []byte
-	streamedBody io.Reader
-	stalled      chan path.Stalled
+	f         *Forwarder
+	call      *Call
+	w         http.ResponseWriter
+	body      *requestBody
+	route     *deployment.Route
+	version   int64
+	service   string
+	workspace string
+	models    *path.System
+	balance   *balance.System
+	budget    *retry.Budget
+	deadline  time.Time
+	stalled   chan path.Stalled
 	// sends counts all sends; runs counts those after which the request may have run.
 	sends int
 	runs  int
@@ -89,39 +85,46 @@
 	attempts    int
 }
 
-// readBody buffers a short body. A long one is streamed to the endpoint.
-func (r *run) readBody(ctx context.Context) bool {
-	if r.call.Body == nil || r.call.Length == 0 {
-		return true
+// rejection is a response of this host's own to a call that it does not take up.
+type rejection struct {
+	status     int
+	cause      string
+	retryAfter time.Duration
+}
+
+func (r *run) reject(why *rejection) {
+	if why.status == http.StatusServiceUnavailable {
+		r.refuse(refusal{cause: why.cause, retryAfter: why.retryAfter})
+		return
 	}
-	if r.call.Length > maxBufferedBytes {
-		r.streamedBody = r.call.Body
+	r.respond(why.status, why.cause)
+}
+
+// readBody reads the body ahead, as far as it is kept, and reports whether the call goes on. Otherwise it ends the call.
+func (r *run) readBody(ctx context.Context) bool {
+	err := r.body.buffer(r.deadline)
+	switch {
+	case err == nil:
 		return true
+	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) && !errors.Is(err, os.ErrDeadlineExceeded):
+		r.disconnect(map[string]any{fieldError: err.Error()})
+	default:
+		r.failBody(err)
 	}
-	if err := http.NewResponseController(r.w).SetReadDeadline(r.deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		r.log("read deadline not set", map[string]any{fieldError: err.Error()})
-	}
-	body, err := io.ReadAll(io.LimitReader(r.call.Body, maxBufferedBytes+1))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		switch {
-		case errors.As(err, &tooLarge):
-			r.respond(http.StatusRequestEntityTooLarge, causeTooLarge)
-		case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
-			r.fail(causeDeadline, retryAfterBusy)
-		case ctx.Err() == nil:
-			r.respond(http.StatusBadRequest, causeBodyUnread)
-		default:
-			r.disconnect(map[string]any{fieldError: err.Error()})
-		}
-		return false
-	}
-	if len(body) > maxBufferedBytes {
-		r.streamedBody = io.MultiReader(bytes.NewReader(body), r.call.Body)
-		return true
+	return false
+}
+
+// failBody ends a call whose body could not be read to its end.
+func (r *run) failBody(err error) {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		r.respond(http.StatusRequestEntityTooLarge, causeTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded), !time.Now().Before(r.deadline):
+		r.fail(causeDeadline, retryAfterBusy)
+	default:
+		r.respond(http.StatusBadRequest, causeBodyUnread)
 	}
-	r.body = body
-	return true
 }
 
 // newSend returns the request that sends the call to an endpoint. A call that was sent to the endpoint before gets a new
@@ -136,10 +139,10 @@
 	}
 	r.sentTo[e.ID] = true
 	switch {
-	case r.streamedBody != nil:
-		s.Body = r.streamedBody
-	case len(r.body) > 0:
-		s.Body = bytes.NewReader(r.body)
+	case r.body.streamed:
+		s.Body = r.body
+	case len(r.body.short) > 0:
+		s.Body = bytes.NewReader(r.body.short)
 	}
 	return s
 }
@@ -149,7 +152,7 @@
 
 // repeatable reports whether the route, the deadline and the number of attempts allow another send of the call.
 func (r *run) repeatable(now time.Time) bool {
-	if r.streamedBody != nil || r.sends >= maxSends || !now.Before(r.deadline) {
+	if r.body.streamed || r.sends >= maxSends || !now.Before(r.deadline) {
 		return false
 	}
 	return r.runs == 0 || (r.route.Idempotent() && r.runs < max(r.route.MaxAttempts, 1))
@@ -167,6 +170,10 @@
 
 // fail ends a call that got no valid response. The call is refused if it has certainly not run.
 func (r *run) fail(cause string, after time.Duration) {
+	if err := r.body.failure(); err != nil && r.body.streamed && time.Now().Before(r.deadline) {
+		r.failBody(err)
+		return
+	}
 	if r.runs == 0 {
 		r.refuse(refusal{cause: cause, retryAfter: after})
 		return
@@ -191,7 +198,10 @@
 	}
 	r.log("answered by host", fields)
 	r.f.cfg.Metrics.Refused(cause)
+	r.body.abandon()
+	r.body.finishShort()
 	h := r.w.Header()
+	r.body.prepareResponse(h)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := fmt.Sprintf("%s\n", cause)
 	h.Set("Content-Length", strconv.Itoa(len(text)))
@@ -201,8 +211,12 @@
 	}
 }
 
-// relayHead forwards the status and header of an endpoint's response.
+// relayHead forwards the status and header of an endpoint's response. A failure ends the send of a body that is not
+// complete yet; a success does not, since the endpoint may read on.
 func (r *run) relayHead(reply *Reply) {
+	if reply.Status >= http.StatusMultipleChoices {
+		r.body.abandon()
+	}
 	h := r.w.Header()
 	for name, values := range reply.Header {
 		h[name] = values
@@ -214,6 +228,7 @@
 	if reply.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
+	r.body.prepareResponse(h)
 	r.w.WriteHeader(reply.Status)
 }
 
--- a/internal/endpoint/http1/body.go
+++ b/internal/endpoint/http1/body.go
@@ -42,6 +42,8 @@
 	return err
 }
 
+var errSendTimeout = errors.New("http1: request was not written in time")
+
 // bodyError is an error of the source of a request's body.
 type bodyError struct{ err error }
 
@@ -66,12 +68,15 @@
 // body returns its connection to the pool if it has been read to its end and no further bytes have been received.
 type body struct {
 	io.ReadCloser
-	pool        *Pool
-	conn        *conn
-	stop        func() bool
-	sent        chan error
-	idleTimeout time.Duration
-	finished    bool
+	pool *Pool
+	conn *conn
+	stop func() bool
+	// sent receives the result of writing the request.
+	sent chan error
+	// sendDeadline is when the rest of a request is given up whose response is complete.
+	sendDeadline time.Time
+	idleTimeout  time.Duration
+	finished     bool
 }
 
 // Read implements io.Reader.
@@ -91,23 +96,34 @@
 	return nil
 }
 
+// finish releases the connection. After a complete response it no longer depends on the context of the request.
 func (b *body) finish(complete bool) {
 	b.finished = true
-	if !complete || b.idleTimeout <= 0 || b.conn.reader.Buffered() > 0 || !b.requestSent() || !b.stop() {
-		b.stop()
+	if !b.stop() || !complete {
 		b.conn.close()
 		return
 	}
-	b.pool.put(b.conn, b.idleTimeout)
-}
-
-// requestSent reports whether the complete request has been written. Otherwise the remainder of its body would still
-// be written to the connection.
-func (b *body) requestSent() bool {
 	select {
 	case err := <-b.sent:
-		return err == nil
+		b.release(err)
 	default:
-		return false
+		// The endpoint has responded before it has read the whole request. It gets the rest.
+		timeout := time.AfterFunc(time.Until(b.sendDeadline), b.conn.close)
+		go func() {
+			err := <-b.sent
+			if !timeout.Stop() {
+				err = errSendTimeout
+			}
+			b.release(err)
+		}()
 	}
 }
+
+// release returns the connection to the pool after a request was written without an error, if it may be used again.
+func (b *body) release(err error) {
+	if err != nil || b.idleTimeout <= 0 || b.conn.reader.Buffered() > 0 {
+		b.conn.close()
+		return
+	}
+	b.pool.put(b.conn, b.idleTimeout)
+}
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -20,6 +20,8 @@
 	defaultDialTimeout = 400 * time.Millisecond
 	// defaultIdleTimeout applies if an endpoint does not announce how long it keeps idle connections.
 	defaultIdleTimeout = 4 * time.Second
+	// defaultSendTimeout limits how long the rest of a request is sent after its response, if the context has no deadline.
+	defaultSendTimeout = 30 * time.Second
 	// idleMargin is subtracted from the timeout that an endpoint announces, so that the endpoint does not close a
 	// connection while a request is being sent on it.
 	idleMargin = 500 * time.Millisecond
@@ -67,7 +69,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	// Body is nil for a request without a body.
+	// Body is nil for a request without a body. The endpoint may respond before it has read all of it. It then gets the
+	// rest after the response, until the context's deadline. A Body that is an io.Closer is closed once it is read no more.
 	Body io.Reader
 	// Length is the length of the body in bytes, or -1 for a chunked body.
 	Length int64
@@ -179,8 +182,8 @@
 	})
 }
 
-// Do sends a request and returns the response once its headers have been read. If ctx ends, also while the body is
-// read, the connection is closed. An error has the type *Error.
+// Do sends a request and returns the response once its headers have been read. If ctx ends, also while the response's body
+// is read, the connection is closed. An error has the type *Error.
 func (p *Pool) Do(ctx context.Context, address string, req *Request) (*Response, error) {
 	c, err := p.acquire(ctx, address, req.Fresh)
 	if err != nil {
@@ -197,6 +200,9 @@
 				// The endpoint waits for the rest of a body that does not come.
 				c.close()
 			}
+			if closer, ok := req.Body.(io.Closer); ok {
+				_ = closer.Close() //nolint:errcheck // how the body ended is known
+			}
 			sent <- err
 		}()
 	} else {
@@ -215,6 +221,10 @@
 		return nil, &Error{Sent: true, err: err}
 	}
 	b := &body{ReadCloser: resp.Body, pool: p, conn: c, stop: stop, sent: sent, idleTimeout: p.idleTimeoutAfter(resp)}
+	var limited bool
+	if b.sendDeadline, limited = ctx.Deadline(); !limited {
+		b.sendDeadline = time.Now().Add(defaultSendTimeout)
+	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: b, CloseDelimited: closeDelimited(resp),
 	}, nil
--- a/internal/endpoint/http1/pool_test.go
+++ b/internal/endpoint/http1/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -203,3 +204,59 @@
 	is.NoErr(resp.Body.Close())
 	is.Equal(len(conns), 2)
 }
+
+// Guards against an endpoint that responds before it has read a long body and does not get the rest, also if the request's
+// context ends with the response.
+func TestDoSendsTheRestOfTheBodyAfterTheResponse(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(listener.Close()) }()
+	bodies := make(chan string, 2)
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, responseText("0", "a"))
+			text, err := io.ReadAll(req.Body)
+			bodies <- fmt.Sprint(len(text), " ", err)
+		}
+	}()
+	pool := New(Config{Matches: matches})
+	address := listener.Addr().String()
+	for range 2 {
+		ctx, cancel := context.WithCancel(context.Background())
+		body, writer := io.Pipe()
+		req := get("0")
+		req.Method, req.Body, req.Length = http.MethodPost, body, -1
+		// The head of the request is sent with the first bytes of its body.
+		go func() { _, _ = io.WriteString(writer, "x") }()
+		resp, err := pool.Do(ctx, address, req)
+		is.NoErr(err)
+		_, err = io.ReadAll(resp.Body)
+		is.NoErr(err)
+		cancel()
+		_, err = io.WriteString(writer, strings.Repeat("x", 100_000))
+		is.NoErr(err)
+		is.NoErr(writer.Close())
+		is.Equal(<-bodies, "100001 <nil>")
+		// The connection is put back after that.
+		for n := 0; n < 500 && pool.idleCount(address) == 0; n++ {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	is.Equal(pool.Dials(), int64(1))
+}
+
+func (p *Pool) idleCount(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address])
+}
