Send the end of an empty body in chunks

A request whose body came in chunks and had no bytes was announced to its worker in chunks and sent without the last chunk. It got no whole answer on streams and unsafe routes.

Cause: a body without bytes is passed on as none, and http1 wrote the chunks of a body only if there was one.

--- a/internal/endpoint/http1/body.go
+++ b/internal/endpoint/http1/body.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httputil"
 	"time"
 )
@@ -11,6 +12,9 @@
 // copyBody writes the body as it is if its length is known, else in chunks.
 func copyBody(w *bufio.Writer, req *Request) error {
 	source := bodySource{req.Body}
+	if req.Body == nil {
+		source.Reader = http.NoBody
+	}
 	if req.Length >= 0 {
 		_, err := io.CopyN(w, source, req.Length)
 		return err
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -69,7 +69,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	// Body is nil for a request without a body. The endpoint may respond before it has read all of it. It then gets the
+	// Body is nil for a request without a body or with an empty one. The endpoint may respond before it has read all of it. It then gets the
 	// rest after the response, until the context's deadline. A Body that is an io.Closer is closed once it is read no more.
 	Body io.Reader
 	// Length is the length of the body in bytes, or -1 for a chunked body.
@@ -382,7 +382,7 @@
 	if _, err := w.WriteString("\r\n"); err != nil {
 		return err
 	}
-	if req.Body != nil {
+	if req.Body != nil || req.Length < 0 {
 		if err := copyBody(w, req); err != nil {
 			return err
 		}
