--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -26,6 +26,8 @@
 	body  []byte
 	// tail is the remainder of a body that is too long to buffer, or nil.
 	tail io.Reader
+	// cancel, if not nil, ends the attempt once the tail has been relayed.
+	cancel context.CancelFunc
 }
 
 // servePlain sends the call to endpoints of a plain service until one of them serves it.
@@ -115,10 +117,18 @@
 
 // tryEndpoint sends the call to one endpoint and reads the reply.
 func (r *run) tryEndpoint(ctx context.Context, e deployment.Endpoint) (*bufferedReply, balance.Result, error) {
+	callCtx := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	// An answer whose tail is still to be relayed outlives its attempt.
+	relayed := false
+	defer func() {
+		if !relayed {
+			cancel()
+		}
+	}()
+	stopTimer := func() bool { return true }
 	if r.route.Idempotent() && r.runs+1 < r.route.MaxAttempts && !r.body.streamed {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, attemptTimeoutFactor*r.route.TargetLatency)
-		defer cancel()
+		stopTimer = time.AfterFunc(attemptTimeoutFactor*r.route.TargetLatency, cancel).Stop
 	}
 	r.log("sent", map[string]any{
 		fieldEndpoint: e.ID, fieldAddress: e.Address, "route": r.route.Name, "config": r.version, fieldSends: r.sends,
@@ -138,7 +148,7 @@
 		}
 		r.sends++
 		r.runs++
-		return nil, attributeResult(ctx, balance.Failed), err
+		return nil, attributeResult(callCtx, balance.Failed), err
 	}
 	r.recordLimit(reply, e, sentAt)
 	r.sends++
@@ -146,6 +156,12 @@
 		r.runs++
 	}
 	answer, err := readReply(reply)
+	if err == nil && answer.tail != nil {
+		if !stopTimer() {
+			err = errAttemptTimeout
+		}
+		answer.cancel, relayed = cancel, true
+	}
 	switch {
 	case reply.NotRun:
 		end = attemptNotRun
@@ -160,7 +176,7 @@
 	case reply.NotRun:
 		return answer, balance.Refused, err
 	case err != nil:
-		return nil, attributeResult(ctx, balance.Failed), err
+		return nil, attributeResult(callCtx, balance.Failed), err
 	case reply.Status >= minServerError:
 		return answer, balance.Failed, nil
 	case reply.Status < http.StatusMultipleChoices && !reply.Verified:
@@ -169,6 +185,8 @@
 	return answer, balance.Served, nil
 }
 
+var errAttemptTimeout = errors.New("forward: time of the attempt is up")
+
 var errNotGenuine = errors.New("forward: answer without proof of origin")
 
 // attributeResult returns the result to count against the endpoint. It is Abandoned if the caller left, which is
@@ -198,6 +216,9 @@
 		if err := answer.reply.Body.Close(); err != nil {
 			r.log("response body not closed", map[string]any{fieldError: err.Error()})
 		}
+		if answer.cancel != nil {
+			answer.cancel()
+		}
 	}()
 	if answer.tail == nil && answer.reply.Length < 0 {
 		answer.reply.Length = int64(len(answer.body))
