Log which requests a crash marks, and which marks do not count

No line named the requests that a crash marks, nor the crashes that a group of prompt parts explains away.

The order of verdicts is the same as before: tests of quarantine, forward and streams pass unchanged (3 of 3 packages).

--- a/internal/core/quarantine/event.go
+++ b/internal/core/quarantine/event.go
@@ -207,10 +207,11 @@
 
 // Verdict is the ruling on a request with the crashes behind it.
 type Verdict struct {
-	ruling  Ruling
-	crashes []CrashID
-	avoid   []table.EndpointID
-	until   time.Time
+	ruling    Ruling
+	crashes   []CrashID
+	explained []CrashID
+	avoid     []table.EndpointID
+	until     time.Time
 }
 
 // Ruling returns the ruling.
@@ -219,6 +220,9 @@
 // Crashes returns the crashes that the request is marked with.
 func (v Verdict) Crashes() []CrashID { return v.crashes }
 
+// Explained returns those of the crashes that do not count against the request, because something else explains them.
+func (v Verdict) Explained() []CrashID { return v.explained }
+
 // Avoid returns the endpoints that, as seen from this host, run another request marked with one of
 // the same crashes.
 func (v Verdict) Avoid() []table.EndpointID { return v.avoid }
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -187,14 +187,28 @@
 	if r == nil {
 		return Verdict{ruling: Clear}
 	}
-	if now.Before(r.refusedUntil) && s.refuses(now, r) {
-		return Verdict{ruling: Refuse, until: r.refusedUntil, crashes: r.liveCrashes(now, s.cfg.Lifetime)}
-	}
 	crashes := r.liveCrashes(now, s.cfg.Lifetime)
-	if len(crashes) == 0 || r.onlyLate() {
-		return Verdict{ruling: Clear}
+	v := Verdict{crashes: crashes, explained: s.explained(now, crashes)}
+	switch {
+	case now.Before(r.refusedUntil) && s.refuses(now, r):
+		v.ruling, v.until = Refuse, r.refusedUntil
+	case len(crashes) == 0 || r.onlyLate():
+		v.ruling = Clear
+	default:
+		v.ruling, v.avoid = Isolate, s.endpointsSharing(now, f, crashes)
+	}
+	return v
+}
+
+// explained returns the crashes that a refused part explains.
+func (s *System) explained(now time.Time, crashes []CrashID) []CrashID {
+	var out []CrashID
+	for _, c := range crashes {
+		if s.parts.explains(now, c) {
+			out = append(out, c)
+		}
 	}
-	return Verdict{ruling: Isolate, crashes: crashes, avoid: s.endpointsSharing(now, f, crashes)}
+	return out
 }
 
 // refuses reports whether a request has enough marks whose crashes no refused part explains.
--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/hex"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -94,6 +96,7 @@
 		case quarantine.SendMarks:
 			c.report(now, d.Marks())
 			c.logParts(d.Marks())
+			c.logRequests(d.Marks())
 		case quarantine.EndpointEnded:
 			c.log.Decision("", "endpoint crashed", map[string]any{
 				fieldEndpoint: string(d.Endpoint()), "instance": string(d.Instance()), "failed_attempts": len(c.failed),
@@ -112,16 +115,52 @@
 // logParts logs marks of parts of prompts.
 func (c *crashTracker) logParts(marks []quarantine.Mark) {
 	for _, m := range marks {
-		if f := m.Fingerprint(); m.Part() {
+		if m.Part() {
 			c.log.Decision("", "prompt part marked", map[string]any{
-				"part": hex.EncodeToString(f[:partLogBytes]), "crash": string(m.Crash()), "cleared": m.Cleared(), "at": m.At(),
+				"part": shortFingerprint(m.Fingerprint()), "crash": string(m.Crash()), "cleared": m.Cleared(), "at": m.At(),
 			})
 		}
 	}
 }
 
-// partLogBytes is how much of a part's fingerprint is logged.
-const partLogBytes = 6
+// logRequests logs marks of requests, one line for each crash.
+func (c *crashTracker) logRequests(marks []quarantine.Mark) {
+	byCrash := map[quarantine.CrashID][]quarantine.Mark{}
+	for _, m := range marks {
+		if !m.Part() {
+			byCrash[m.Crash()] = append(byCrash[m.Crash()], m)
+		}
+	}
+	for _, crash := range slices.Sorted(maps.Keys(byCrash)) {
+		var early, late []string
+		for _, m := range byCrash[crash] {
+			if m.Late() {
+				late = append(late, shortFingerprint(m.Fingerprint()))
+			} else {
+				early = append(early, shortFingerprint(m.Fingerprint()))
+			}
+		}
+		decision := "requests marked"
+		if crash == "" {
+			decision = "requests cleared"
+		}
+		c.log.Decision("", decision, map[string]any{
+			"crash": string(crash), "early": len(early), "late": len(late), "contents": early[:min(len(early), maxLoggedMarks)],
+			"late_contents": late[:min(len(late), maxLoggedMarks)],
+		})
+	}
+}
+
+const (
+	// fingerprintLogBytes is how much of a fingerprint is logged.
+	fingerprintLogBytes = 6
+	// maxLoggedMarks bounds the requests that a log line names.
+	maxLoggedMarks = 64
+)
+
+func shortFingerprint(f quarantine.Fingerprint) string {
+	return hex.EncodeToString(f[:fingerprintLogBytes])
+}
 
 // Marks returns the crash marks to report to peers.
 func (f *Forwarder) Marks() []Mark {
@@ -189,12 +228,19 @@
 	r.f.mu.Lock()
 	verdict := r.f.crashes.system.Verdict(time.Now(), r.fingerprint, r.parts...)
 	r.f.mu.Unlock()
+	if verdict.Ruling() != quarantine.Refuse && len(verdict.Crashes()) == 0 {
+		return false
+	}
+	fields := map[string]any{
+		fieldContent: shortFingerprint(r.fingerprint), fieldParts: r.call.PromptParts, "crashes": verdict.Crashes(),
+		"explained": verdict.Explained(), fieldSends: r.sends,
+	}
 	if verdict.Ruling() != quarantine.Refuse {
+		r.log("marked request admitted", fields)
 		return false
 	}
-	r.log("request quarantined", map[string]any{
-		fieldParts: r.call.PromptParts, "crashes": verdict.Crashes(), "until": verdict.Until(), fieldSends: r.sends,
-	})
+	fields["until"] = verdict.Until()
+	r.log("request quarantined", fields)
 	return true
 }
 
--- a/internal/daemon/forward/types.go
+++ b/internal/daemon/forward/types.go
@@ -117,5 +117,6 @@
 	fieldEndpoint = "endpoint"
 	fieldCause    = "cause"
 	fieldParts    = "parts"
+	fieldContent  = "content"
 	fieldAddress  = "address"
 )
