--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -93,7 +93,7 @@
 	case "verdict":
 		s.check(line, s.hosts[host].Verdict(s.now, fp("new"), partFingerprints(args[1:])...), args[0])
 	case "rules":
-		s.check(line, s.hosts[host].Verdict(s.now, fp(args[1])), args[0])
+		s.check(line, s.hosts[host].Verdict(s.now, fp(args[1]), partFingerprints(args[2:])...), args[0])
 	default:
 		s.t.Fatalf("unknown command: %s", line)
 	}
@@ -109,7 +109,12 @@
 // Guards against a part of prompts that crashes worker after worker in requests of which no two are alike, and against the
 // refusal of sound requests that share their other parts or were on the same workers.
 func TestParts(t *testing.T) {
-	cases, err := script.ReadCases("testdata/parts.txtar")
+	runScripts(t, "testdata/parts.txtar")
+}
+
+func runScripts(t *testing.T, file string) {
+	t.Helper()
+	cases, err := script.ReadCases(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,6 +131,12 @@
 	}
 }
 
+// Guards against a request that goes on to crash endpoints since none of its marks count, and against the refusal of other
+// requests for it.
+func TestRequestIsBlamedBeforeParts(t *testing.T) {
+	runScripts(t, "testdata/blame.txtar")
+}
+
 // Guards against a table of parts without bound, and against the loss of a refusal when it is full.
 func TestPartTableIsBounded(t *testing.T) {
 	is := is.New(t)
