Let a request explain its crashes before parts of prompts do

In tests, one request that crashed three servers shut out all requests that share the first part of its prompt for ten minutes.

Cause: parts of prompts in exactly the same crashes made one group, which refuses requests that hold all of them. Parts of different requests have no such request, so the group refused nobody. Its crashes still counted as explained, and marks of explained crashes were left out of the verdict on the request that had caused them. Where the crashing request's own part stood alone in its crashes, it was refused for everybody.

Evidence: TestRequestIsBlamedBeforeParts failed in both cases before.

Change: the narrowest explanation comes first. A request in three crashes is refused whatever else holds, and explains them. Parts are judged by the crashes that no such request explains. Marks of requests carry the parts of their prompts, so that hosts know whether parts in the same crashes were in the same requests; if not, they refuse nobody and explain nothing, and after five crashes the rarest is refused. Only what is refused explains crashes.

--- a/internal/core/quarantine/event.go
+++ b/internal/core/quarantine/event.go
@@ -40,6 +40,8 @@
 	// Part is true if the fingerprint is that of a part of prompts; Depth is the place of the part in prompts, from 0.
 	Part  bool
 	Depth int
+	// Parts are the parts of a marked request's prompt that other requests share.
+	Parts []Fingerprint
 }
 
 // Mark records that a request was running on an endpoint when it crashed, or that its marks are cleared.
@@ -69,6 +71,9 @@
 // Depth returns the place of the part in prompts, from 0.
 func (m Mark) Depth() int { return m.cfg.Depth }
 
+// Parts returns the parts of the marked request's prompt that other requests share.
+func (m Mark) Parts() []Fingerprint { return m.cfg.Parts }
+
 // PartFingerprint returns the fingerprint of a part of the prompts for a service.
 func PartFingerprint(service table.ServiceID, id string) Fingerprint {
 	return FingerprintOf(service, "", []byte("part "+id))
--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -7,10 +7,6 @@
 )
 
 const (
-	// marksToRefusePart is how many crashes refuse a part. It is above marksToRefuse, because a part stands for many requests.
-	marksToRefusePart = 3
-	// sameMoment is the time within which several crashes count once, because machines that fail together have one cause.
-	sameMoment = 100 * time.Millisecond
 	// recentRun is how long a run without a crash speaks against a mark: a part that ran a moment ago crashes nothing.
 	recentRun = 2 * time.Second
 	// maxPartMarks bounds the crashes kept for a part.
@@ -28,29 +24,20 @@
 	ranAt time.Time
 }
 
-// partGroup is a set of parts that were in the same crashes. Requests with all of them are refused.
-type partGroup struct {
-	parts   []Fingerprint
-	crashes []CrashID
-	until   time.Time
-}
-
-// partTable finds the parts of prompts that crash endpoints, whatever else a request holds.
+// partTable holds the crashes that parts of prompts were in.
 //
 // Requests that crash endpoints share parts with sound ones, and sound ones run on the same endpoints. A part is therefore
-// cleared when a request with it runs, and crashes that another part explains do not count.
+// cleared when a request with it runs.
 type partTable struct {
 	lifetime time.Duration
 	parts    map[Fingerprint]*part
-	groups   []partGroup
-	// explained holds the crashes of all groups.
-	explained map[CrashID]bool
-	dirty     bool
-	sweptAt   time.Time
+	// changed is set when marks change, for the ruling that is derived from them.
+	changed bool
+	sweptAt time.Time
 }
 
 func newPartTable(lifetime time.Duration) *partTable {
-	return &partTable{lifetime: lifetime, parts: map[Fingerprint]*part{}, explained: map[CrashID]bool{}}
+	return &partTable{lifetime: lifetime, parts: map[Fingerprint]*part{}}
 }
 
 func (t *partTable) part(f Fingerprint, depth int) *part {
@@ -123,7 +110,7 @@
 	if !at.After(p.clearedAt) {
 		return false
 	}
-	t.dirty = true
+	t.changed = true
 	if m.cfg.Cleared {
 		p.clearedAt = at
 		maps.DeleteFunc(p.marks, func(_ CrashID, markedAt time.Time) bool { return !markedAt.After(at) })
@@ -150,122 +137,6 @@
 	return oldest
 }
 
-// refusing returns the group whose parts are all among the given ones, or nil.
-func (t *partTable) refusing(now time.Time, parts []Fingerprint) *partGroup {
-	if len(parts) == 0 {
-		return nil
-	}
-	t.update(now)
-	for i := range t.groups {
-		g := &t.groups[i]
-		if now.Before(g.until) && !slices.ContainsFunc(g.parts, func(f Fingerprint) bool { return !slices.Contains(parts, f) }) {
-			return g
-		}
-	}
-	return nil
-}
-
-// explains reports whether a refused part explains a crash.
-func (t *partTable) explains(now time.Time, c CrashID) bool {
-	t.update(now)
-	return t.explained[c]
-}
-
-// candidate is a part with crashes that no group explains yet.
-type candidate struct {
-	fingerprint Fingerprint
-	depth       int
-	crashes     map[CrashID]time.Time
-}
-
-// update finds the groups anew if marks have changed. The part with the most crashes explains them first; what it explains
-// does not count for other parts. Parts in the same crashes are one group, because it is not known which of them is the cause.
-func (t *partTable) update(now time.Time) {
-	if !t.dirty {
-		return
-	}
-	t.dirty, t.groups = false, nil
-	clear(t.explained)
-	var candidates []candidate
-	for f, p := range t.parts {
-		maps.DeleteFunc(p.marks, func(_ CrashID, at time.Time) bool { return now.Sub(at) >= t.lifetime })
-		if moments(p.marks) >= marksToRefusePart {
-			candidates = append(candidates, candidate{fingerprint: f, depth: p.depth, crashes: maps.Clone(p.marks)})
-		}
-	}
-	for {
-		best := t.mostCrashes(candidates)
-		if best == nil {
-			return
-		}
-		group := partGroup{crashes: slices.Sorted(maps.Keys(best.crashes))}
-		for _, c := range candidates {
-			if len(c.crashes) == len(best.crashes) && slices.Equal(slices.Sorted(maps.Keys(c.crashes)), group.crashes) {
-				group.parts = append(group.parts, c.fingerprint)
-			}
-		}
-		for _, at := range best.crashes {
-			group.until = later(group.until, at.Add(t.lifetime))
-		}
-		for _, crash := range group.crashes {
-			t.explained[crash] = true
-		}
-		for _, c := range candidates {
-			maps.DeleteFunc(c.crashes, func(crash CrashID, _ time.Time) bool { return t.explained[crash] })
-		}
-		slices.SortFunc(group.parts, compareFingerprints)
-		t.groups = append(t.groups, group)
-	}
-}
-
-// mostCrashes returns the candidate with the most crashes, or nil if none has enough. Of several, it is the one that is deepest
-// in prompts, which the fewest requests share.
-func (t *partTable) mostCrashes(candidates []candidate) *candidate {
-	var best *candidate
-	for i := range candidates {
-		c := &candidates[i]
-		if moments(c.crashes) < marksToRefusePart {
-			continue
-		}
-		if best == nil || len(c.crashes) > len(best.crashes) || (len(c.crashes) == len(best.crashes) &&
-			(c.depth > best.depth || (c.depth == best.depth && compareFingerprints(c.fingerprint, best.fingerprint) < 0))) {
-			best = c
-		}
-	}
-	return best
-}
-
-func compareFingerprints(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) }
-
-// moments returns the number of crashes, where those that are close to each other count once.
-func moments(marks map[CrashID]time.Time) int {
-	times := slices.SortedFunc(maps.Values(marks), time.Time.Compare)
-	n := 0
-	var last time.Time
-	for _, at := range times {
-		if n == 0 || at.Sub(last) > sameMoment {
-			n++
-			last = at
-		}
-	}
-	return n
-}
-
-// refusals returns the marks behind the groups, for hosts that have just started.
-func (t *partTable) refusals(now time.Time) []Mark {
-	t.update(now)
-	var out []Mark
-	for _, g := range t.groups {
-		for _, f := range g.parts {
-			p := t.parts[f]
-			for _, c := range slices.Sorted(maps.Keys(p.marks)) {
-				out = append(out, NewMark(MarkConfig{Fingerprint: f, Crash: c, At: p.marks[c], Part: true, Depth: p.depth}))
-			}
-		}
-	}
-	return out
-}
-
 // sweep removes parts without marks that have not run of late.
 func (t *partTable) sweep(now time.Time) {
 	if now.Sub(t.sweptAt) < partSweepInterval {
@@ -276,7 +147,7 @@
 		maps.DeleteFunc(p.marks, func(_ CrashID, at time.Time) bool { return now.Sub(at) >= t.lifetime })
 		return len(p.marks) == 0 && now.Sub(p.ranAt) > recentRun && now.Sub(p.clearedAt) > partSweepInterval
 	})
-	t.dirty = true
+	t.changed = true
 }
 
 // partSweepInterval limits how often unused parts are removed.
@@ -300,5 +171,5 @@
 	for _, f := range keys[:len(keys)/evictDivisor] {
 		delete(t.parts, f)
 	}
-	t.dirty = true
+	t.changed = true
 }
--- a/internal/core/quarantine/request.go
+++ b/internal/core/quarantine/request.go
@@ -85,8 +85,8 @@
 	return end
 }
 
-// maxMarksKept bounds the memory of an entry. Three marks are enough to refuse the request.
-const maxMarksKept = 8
+// maxMarksKept bounds the memory of an entry. Crashes whose marks are removed count against parts of prompts again.
+const maxMarksKept = 16
 
 // trimMarks removes the oldest marks above the bound.
 func (r *request) trimMarks() {
@@ -101,6 +101,8 @@
 	}
 }
 
+func compareFingerprints(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) }
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -26,6 +26,8 @@
 	maxCrashesKept = 8
 	// Requests kept per crash; an endpoint has fewer slots than this.
 	maxRequestsPerCrash = 256
+	// Parts kept per request; prompts have two to four.
+	maxPartsKept = 16
 )
 
 // Config describes a System; zero values are replaced by the defaults.
@@ -49,6 +51,8 @@
 	clearedAt    time.Time
 	refusedUntil time.Time
 	lastMarkAt   time.Time
+	// parts are the parts of the request's prompt that other requests share.
+	parts []Fingerprint
 }
 
 type run struct {
@@ -74,6 +78,9 @@
 	running   map[table.EndpointID]map[table.StreamID]Fingerprint
 	endpoints map[table.EndpointID]*crashHistory
 	parts     *partTable
+	// proven holds the requests that have enough marks to explain their crashes.
+	proven    map[Fingerprint]bool
+	blame     blame
 	breaks    breaks
 	lastSweep time.Time
 }
@@ -96,6 +103,7 @@
 		running:   map[table.EndpointID]map[table.StreamID]Fingerprint{},
 		endpoints: map[table.EndpointID]*crashHistory{},
 		parts:     newPartTable(cfg.Lifetime),
+		proven:    map[Fingerprint]bool{},
 		breaks:    newBreaks(),
 	}
 }
@@ -153,7 +161,7 @@
 // Refusals returns the marks of the parts and of the requests that are refused, for hosts that have just started. Of the
 // requests, it returns those that were marked last, at most maxRepeated.
 func (s *System) Refusals(now time.Time) []Mark {
-	out := s.parts.refusals(now)
+	out := s.partRefusals(now)
 	var refused []Fingerprint
 	for f, r := range s.requests {
 		if now.Before(r.refusedUntil) {
@@ -169,7 +177,7 @@
 	for _, f := range refused[:min(len(refused), maxRepeated)] {
 		for _, c := range slices.Sorted(maps.Keys(s.requests[f].marks)) {
 			m := s.requests[f].marks[c]
-			out = append(out, NewMark(MarkConfig{Fingerprint: f, Crash: c, At: m.at, Late: m.late}))
+			out = append(out, NewMark(MarkConfig{Fingerprint: f, Crash: c, At: m.at, Late: m.late, Parts: s.requests[f].parts}))
 		}
 	}
 	return out
@@ -180,7 +188,7 @@
 
 // Verdict returns the verdict on a request at the given time. parts are the parts of its prompt that other requests share.
 func (s *System) Verdict(now time.Time, f Fingerprint, parts ...Fingerprint) Verdict {
-	if g := s.parts.refusing(now, parts); g != nil {
+	if g := s.refusing(now, parts); g != nil {
 		return Verdict{ruling: Refuse, until: g.until, crashes: g.crashes}
 	}
 	r := s.requests[f]
@@ -200,30 +208,26 @@
 	return v
 }
 
-// explained returns the crashes that a refused part explains.
+// explained returns those of the crashes that are explained.
 func (s *System) explained(now time.Time, crashes []CrashID) []CrashID {
 	var out []CrashID
 	for _, c := range crashes {
-		if s.parts.explains(now, c) {
+		if s.explains(now, c) {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// refuses reports whether a request has enough marks whose crashes no refused part explains.
+// refuses reports whether a request has enough marks: three, or two early ones whose crashes nothing else explains.
 func (s *System) refuses(now time.Time, r *request) bool {
-	early, all := 0, 0
+	early := 0
 	for c, m := range r.marks {
-		if s.parts.explains(now, c) {
-			continue
-		}
-		all++
-		if !m.late {
+		if !m.late && !s.explains(now, c) {
 			early++
 		}
 	}
-	return early >= marksToRefuse || all >= anyMarksToRefuse
+	return early >= marksToRefuse || len(r.marks) >= anyMarksToRefuse
 }
 
 // endpointsSharing returns the endpoints that run another request with an unexpired mark from one of
@@ -301,7 +305,7 @@
 	}
 	suspects := s.suspects(endpoint)
 	wasFaulty := h.faulty
-	explained := s.parts.explains(now, crash) || s.explainedElsewhere(now, endpoint, suspects)
+	explained := s.explains(now, crash) || s.explainedElsewhere(now, endpoint, suspects)
 	h.record(pastCrash{id: crash, at: now, requests: suspects, explained: explained}, s.cfg)
 	if h.faulty {
 		if wasFaulty {
@@ -310,8 +314,8 @@
 		return []Decision{FaultyEndpoint{endpoint: endpoint}}
 	}
 	var marks []Mark
-	for f, early := range s.unmarked(endpoint) {
-		m := NewMark(MarkConfig{Fingerprint: f, Crash: crash, At: now, Late: !early})
+	for f, run := range s.unmarked(endpoint) {
+		m := NewMark(MarkConfig{Fingerprint: f, Crash: crash, At: now, Late: !run.early, Parts: run.parts})
 		if s.merge(now, m) {
 			marks = append(marks, m)
 		}
@@ -333,14 +337,20 @@
 	return out
 }
 
-// unmarked returns the requests with a run on the endpoint that has caused no mark yet, and whether one of these runs had not
-// run for some time. It sets marked on all runs on the endpoint.
-func (s *System) unmarked(id table.EndpointID) map[Fingerprint]bool {
-	fresh := map[Fingerprint]bool{}
+// unmarkedRun describes the runs of one request on an endpoint.
+type unmarkedRun struct {
+	// early is true if one of the runs had not run for some time.
+	early bool
+	parts []Fingerprint
+}
+
+// unmarked returns the requests with a run on the endpoint that has caused no mark yet. It sets marked on all runs there.
+func (s *System) unmarked(id table.EndpointID) map[Fingerprint]unmarkedRun {
+	fresh := map[Fingerprint]unmarkedRun{}
 	for stream, f := range s.running[id] {
 		r := s.streams[stream]
 		if !r.marked {
-			fresh[f] = fresh[f] || !r.ran
+			fresh[f] = unmarkedRun{early: fresh[f].early || !r.ran, parts: r.parts}
 		}
 		r.marked = true
 	}
@@ -379,6 +389,12 @@
 		s.requests[m.cfg.Fingerprint] = r
 	}
 	r.lastMarkAt = later(r.lastMarkAt, at)
+	if len(r.parts) == 0 {
+		// The deepest parts are those that the fewest requests share.
+		r.parts = m.cfg.Parts[max(0, len(m.cfg.Parts)-maxPartsKept):]
+	}
+	s.blame.stale = true
+	defer s.updateProven(m.cfg.Fingerprint, r)
 	if m.cfg.Cleared {
 		return r.clear(at, s.cfg.Lifetime)
 	}
@@ -400,6 +416,14 @@
 	return !exists || old.late != merged.late
 }
 
+func (s *System) updateProven(f Fingerprint, r *request) {
+	if len(r.marks) >= anyMarksToRefuse {
+		s.proven[f] = true
+	} else {
+		delete(s.proven, f)
+	}
+}
+
 // sweepInterval limits how often expired entries are removed. Verdicts ignore expired marks regardless.
 const sweepInterval = time.Minute
 
@@ -409,9 +433,11 @@
 		return
 	}
 	s.lastSweep = now
-	maps.DeleteFunc(s.requests, func(_ Fingerprint, r *request) bool {
-		return now.Sub(r.lastMarkAt) >= s.cfg.Lifetime && !now.Before(r.refusedUntil)
-	})
+	for f, r := range s.requests {
+		if now.Sub(r.lastMarkAt) >= s.cfg.Lifetime && !now.Before(r.refusedUntil) {
+			s.remove(f)
+		}
+	}
 	maps.DeleteFunc(s.endpoints, func(_ table.EndpointID, h *crashHistory) bool {
 		h.expire(now, s.cfg.Lifetime)
 		return len(h.crashes) == 0
@@ -439,6 +465,12 @@
 		return slices.Compare(a[:], b[:])
 	})
 	for _, f := range keys[:max(1, len(keys)/evictDivisor)] {
-		delete(s.requests, f)
+		s.remove(f)
 	}
 }
+
+func (s *System) remove(f Fingerprint) {
+	delete(s.requests, f)
+	delete(s.proven, f)
+	s.blame.stale = true
+}
--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -33,29 +33,48 @@
 	// Part is true for a mark of a part of prompts; Depth is the place of the part in prompts, from 0.
 	Part  bool `json:"part,omitempty"`
 	Depth int  `json:"depth,omitempty"`
+	// Parts are the fingerprints of the parts of a marked request's prompt that other requests share.
+	Parts [][]byte `json:"parts,omitempty"`
 }
 
 func encodeMark(m quarantine.Mark) Mark {
 	f := m.Fingerprint()
-	return Mark{Fingerprint: f[:], Crash: string(m.Crash()), At: m.At(), Cleared: m.Cleared(), Late: m.Late(), Part: m.Part(), Depth: m.Depth()}
+	out := Mark{Fingerprint: f[:], Crash: string(m.Crash()), At: m.At(), Cleared: m.Cleared(), Late: m.Late(), Part: m.Part(), Depth: m.Depth()}
+	for _, p := range m.Parts() {
+		out.Parts = append(out.Parts, p[:])
+	}
+	return out
 }
 
 // decodeMarks leaves out marks whose fingerprint has another length.
 func decodeMarks(marks []Mark) []quarantine.Mark {
 	var out []quarantine.Mark
 	for _, m := range marks {
-		var fingerprint quarantine.Fingerprint
-		if len(m.Fingerprint) != len(fingerprint) {
+		fingerprint, ok := decodeFingerprint(m.Fingerprint)
+		if !ok {
 			continue
 		}
-		copy(fingerprint[:], m.Fingerprint)
-		out = append(out, quarantine.NewMark(quarantine.MarkConfig{
+		cfg := quarantine.MarkConfig{
 			Fingerprint: fingerprint, Crash: quarantine.CrashID(m.Crash), At: m.At, Cleared: m.Cleared, Late: m.Late, Part: m.Part, Depth: m.Depth,
-		}))
+		}
+		for _, p := range m.Parts {
+			if part, ok := decodeFingerprint(p); ok {
+				cfg.Parts = append(cfg.Parts, part)
+			}
+		}
+		out = append(out, quarantine.NewMark(cfg))
 	}
 	return out
 }
 
+func decodeFingerprint(b []byte) (f quarantine.Fingerprint, ok bool) {
+	if len(b) != len(f) {
+		return f, false
+	}
+	copy(f[:], b)
+	return f, true
+}
+
 // failedAttempt is an attempt that failed and may turn out to have crashed its endpoint.
 type failedAttempt struct {
 	id table.StreamID
