Take no response that ends with its connection for proof that its endpoint lives

Cause: an answer without a length or chunks ends with its connection, which a worker that crashes closes as well. Such an end counted as a complete answer: it cleared the marks of the request and ended the watch on its worker.

Change: such an attempt stays a suspect for as long as a crash takes to show, and gets a late mark if its worker has ended. Its completion clears marks only after that, as of the time at which it ended. Streams and plain calls pass through the same function.

--- a/internal/core/quarantine/ended.go
+++ b/internal/core/quarantine/ended.go
@@ -52,6 +52,22 @@
 	return s.markParts(now, r.endpoints[0])
 }
 
+// endedWithConnection handles a response that may be complete or cut off by the end of its endpoint.
+func (s *System) endedWithConnection(now time.Time, e EndedWithConnection) []Decision {
+	if r := s.streams[e.stream]; r != nil {
+		r.unproven = true
+	}
+	return s.broken(now, NewBroken(e.stream))
+}
+
+// complete clears the marks of a request whose response ended with its connection, unless the endpoint ended at that time.
+func (s *System) complete(now time.Time, r *run) []Decision {
+	if !r.unproven || (r.marked && r.brokenAt.Sub(r.markedAt) <= evidenceTime) {
+		return nil
+	}
+	return s.completed(now, r.brokenAt, r.fingerprint)
+}
+
 // refused handles a connection that an endpoint's host refused because nothing listens there.
 func (s *System) refused(now time.Time, e ConnectionRefused) []Decision {
 	instance := newCrashID(e.endpoint, e.incarnation)
--- a/internal/core/quarantine/event.go
+++ b/internal/core/quarantine/event.go
@@ -116,6 +116,15 @@
 // NewBroken returns the event.
 func NewBroken(id table.StreamID) Broken { return Broken{stream: id} }
 
+// EndedWithConnection reports that the end of its connection was all that marked the end of a stream's response, as a crash of
+// the endpoint does. It is not known whether the response is complete until the stream stops and its endpoint has not ended.
+type EndedWithConnection struct{ stream table.StreamID }
+
+// NewEndedWithConnection returns the event.
+func NewEndedWithConnection(id table.StreamID) EndedWithConnection {
+	return EndedWithConnection{stream: id}
+}
+
 // ConnectionRefused reports that nothing listens at the address of an endpoint.
 type ConnectionRefused struct {
 	endpoint    table.EndpointID
@@ -156,14 +165,15 @@
 // NewPeerMarks returns the event.
 func NewPeerMarks(marks []Mark) PeerMarks { return PeerMarks{marks: marks} }
 
-func (Started) event()           {}
-func (Ran) event()               {}
-func (Broken) event()            {}
-func (ConnectionRefused) event() {}
-func (Stopped) event()           {}
-func (Completed) event()         {}
-func (EndpointCrashed) event()   {}
-func (PeerMarks) event()         {}
+func (Started) event()             {}
+func (Ran) event()                 {}
+func (Broken) event()              {}
+func (EndedWithConnection) event() {}
+func (ConnectionRefused) event()   {}
+func (Stopped) event()             {}
+func (Completed) event()           {}
+func (EndpointCrashed) event()     {}
+func (PeerMarks) event()           {}
 
 // Decision is an action that the daemon carries out for the system.
 type Decision interface{ decision() }
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -74,6 +74,10 @@
 		id := table.EndpointID(args[0])
 		s.tick(host, NewBroken(s.stream(args[1])), NewConnectionRefused(id, s.incarnations[id]))
 		s.incarnations[id]++
+	case "ends":
+		s.tick(host, NewEndedWithConnection(s.stream(args[0])))
+	case "stop":
+		s.tick(host, NewStopped(s.stream(args[0])))
 	case "gone":
 		id := table.EndpointID(args[0])
 		s.tick(host, NewEndpointCrashed(id, s.incarnations[id]))
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -59,6 +59,7 @@
 	// marked is true once the run has caused a mark. Endpoints of one pipeline that crash together, for
 	// example in a rack failure, count as one mark.
 	marked      bool
+	markedAt    time.Time
 	fingerprint Fingerprint
 	endpoints   []table.EndpointID
 	// instance is the instance of the first endpoint, which writes the response.
@@ -68,6 +69,8 @@
 	ran         bool
 	brokenAt    time.Time
 	partsMarked bool
+	// unproven is true if the response may be complete, though its connection broke.
+	unproven bool
 }
 
 // System holds the marks that are registered on one host.
@@ -121,11 +124,14 @@
 			s.stop(e.stream)
 			s.begin(e)
 		case Stopped:
+			if r := s.streams[e.stream]; r != nil {
+				out = append(out, s.complete(now, r)...)
+			}
 			s.stop(e.stream)
 		case Completed:
-			if d, ok := s.completed(now, e.fingerprint); ok {
-				out = append(out, d)
-			}
+			out = append(out, s.completed(now, now, e.fingerprint)...)
+		case EndedWithConnection:
+			out = append(out, s.endedWithConnection(now, e)...)
 		case EndpointCrashed:
 			out = append(out, s.ended(now, e.endpoint, newCrashID(e.endpoint, e.incarnation))...)
 		case Ran:
@@ -278,14 +284,15 @@
 	delete(s.streams, id)
 }
 
-func (s *System) completed(now time.Time, f Fingerprint) (Decision, bool) {
+// completed clears the marks of a request from before it completed.
+func (s *System) completed(now, at time.Time, f Fingerprint) []Decision {
 	r := s.requests[f]
 	if r == nil || len(r.marks) == 0 {
-		return nil, false
+		return nil
 	}
-	m := NewMark(MarkConfig{Fingerprint: f, At: now, Cleared: true})
+	m := NewMark(MarkConfig{Fingerprint: f, At: at, Cleared: true})
 	s.merge(now, m)
-	return SendMarks{marks: []Mark{m}}, true
+	return sendMarks([]Mark{m})
 }
 
 func newCrashID(id table.EndpointID, incarnation uint64) CrashID {
@@ -314,7 +321,7 @@
 		return []Decision{FaultyEndpoint{endpoint: endpoint}}
 	}
 	var marks []Mark
-	for f, run := range s.unmarked(endpoint) {
+	for f, run := range s.unmarked(now, endpoint) {
 		m := NewMark(MarkConfig{Fingerprint: f, Crash: crash, At: now, Late: !run.early, Parts: run.parts})
 		if s.merge(now, m) {
 			marks = append(marks, m)
@@ -339,18 +346,19 @@
 
 // unmarkedRun describes the runs of one request on an endpoint.
 type unmarkedRun struct {
-	// early is true if one of the runs had not run for some time.
+	// early is true if one of the runs had not run for some time when it broke off.
 	early bool
 	parts []Fingerprint
 }
 
 // unmarked returns the requests with a run on the endpoint that has caused no mark yet. It sets marked on all runs there.
-func (s *System) unmarked(id table.EndpointID) map[Fingerprint]unmarkedRun {
+func (s *System) unmarked(now time.Time, id table.EndpointID) map[Fingerprint]unmarkedRun {
 	fresh := map[Fingerprint]unmarkedRun{}
 	for stream, f := range s.running[id] {
 		r := s.streams[stream]
 		if !r.marked {
-			fresh[f] = unmarkedRun{early: fresh[f].early || !r.ran, parts: r.parts}
+			fresh[f] = unmarkedRun{early: fresh[f].early || !(r.ran || r.unproven), parts: r.parts}
+			r.markedAt = now
 		}
 		r.marked = true
 	}
--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -75,7 +75,7 @@
 	return f, true
 }
 
-// failedAttempt is an attempt that failed and may turn out to have crashed its endpoint.
+// failedAttempt is an attempt that failed, or may have, and may turn out to have crashed its endpoint.
 type failedAttempt struct {
 	id table.StreamID
 	at time.Time
@@ -313,14 +313,31 @@
 	attemptFailed attemptEnd = "failed"
 	// attemptNotRun has not reached its endpoint, or the endpoint has refused it.
 	attemptNotRun attemptEnd = "not_run"
+	// attemptUnproven got a response that ended with its connection, which it also does if the endpoint crashes.
+	attemptUnproven attemptEnd = "unproven"
 )
 
-// recordEnd records the end of an attempt.
-func (r *run) recordEnd(attempt table.StreamID, end attemptEnd) {
+// completeEnd returns how an attempt ended that got a response which is complete as far as its framing tells.
+func completeEnd(closeDelimited bool) attemptEnd {
+	if closeDelimited {
+		return attemptUnproven
+	}
+	return attemptCompleted
+}
+
+// recordEnd records the end of an attempt at an endpoint.
+func (r *run) recordEnd(attempt table.StreamID, endpoint string, end attemptEnd) {
 	r.f.mu.Lock()
 	defer r.f.mu.Unlock()
 	now := time.Now()
+	if e, listed := r.f.byID[endpoint]; end == attemptUnproven && (!listed || e.State != deployment.Ready) {
+		// It has announced its end, so that this is no crash.
+		end = attemptCompleted
+	}
 	switch end {
+	case attemptUnproven:
+		r.f.crashes.tick(now, quarantine.NewEndedWithConnection(attempt))
+		r.f.crashes.failed = append(r.f.crashes.failed, failedAttempt{id: attempt, at: now})
 	case attemptFailed:
 		r.f.crashes.failed = append(r.f.crashes.failed, failedAttempt{id: attempt, at: now})
 	case attemptNotRun:
--- a/internal/daemon/forward/crashes_test.go
+++ b/internal/daemon/forward/crashes_test.go
@@ -64,7 +64,7 @@
 				first.SetEndpoints([]deployment.Endpoint{e})
 				r := &run{f: first, body: &requestBody{}, call: &Call{ID: "copy-" + id, Method: "POST", Target: "/x"}}
 				r.identify()
-				r.recordEnd(r.recordStart(id), attemptFailed)
+				r.recordEnd(r.recordStart(id), "w", attemptFailed)
 				first.SetEndpoints(nil)
 			}
 			hub.AddMarks(first.Marks())
@@ -94,10 +94,10 @@
 		r := &run{f: f, body: &requestBody{}, call: &Call{ID: crashing, PromptParts: []string{"shared", "own"}}}
 		r.identify()
 		stalled := r.recordStart(crashing)
-		r.recordEnd(r.recordStart(other), attemptNotRun) // the stream goes back to the stalled attempt
+		r.recordEnd(r.recordStart(other), other, attemptNotRun) // the stream goes back to the stalled attempt
 		r.recordBroken(context.Background(), stalled, crashing, true, nil)
 		r.recordBroken(context.Background(), stalled, crashing, false, errors.New("refused"))
-		r.recordEnd(stalled, attemptFailed)
+		r.recordEnd(stalled, crashing, attemptFailed)
 		time.Sleep(150 * time.Millisecond) // crashes at one moment count once
 	}
 	r := &run{f: f, body: &requestBody{}, call: &Call{ID: "new", PromptParts: []string{"shared", "other"}}}
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -136,7 +136,7 @@
 	})
 	attempt := r.recordStart(e.ID)
 	end := attemptFailed
-	defer func() { r.recordEnd(attempt, end) }()
+	defer func() { r.recordEnd(attempt, e.ID, end) }()
 	sentAt := time.Now()
 	reply, err := r.f.cfg.Endpoints.Send(ctx, r.newSend(e, nil, r.call.ResumeAfter))
 	if err != nil {
@@ -168,7 +168,7 @@
 	case err != nil:
 		r.recordBroken(ctx, attempt, e.ID, true, err)
 	default:
-		end = attemptCompleted
+		end = completeEnd(reply.CloseDelimited)
 	}
 	switch {
 	case r.recordPause(reply, e.ID, e.Address):
--- a/internal/daemon/forward/recover.go
+++ b/internal/daemon/forward/recover.go
@@ -120,7 +120,7 @@
 func (s *streamRun) revertToPrevious(reason string) {
 	s.log("attempt abandoned", map[string]any{fieldPath: s.attempt.path.String(), "why": reason})
 	s.attempt.cancel()
-	s.recordEnd(s.attempt.id, s.attempt.failedEnd())
+	s.recordEnd(s.attempt.id, s.attempt.path[0].Worker, s.attempt.failedEnd())
 	s.attempt, s.previous = s.previous, nil
 	s.f.mu.Lock()
 	s.models.Begin(time.Now(), s.call.ID, s.attempt.path, s.attempt.demand)
@@ -130,7 +130,7 @@
 func (s *streamRun) cancelPrevious() {
 	if s.previous != nil {
 		s.previous.cancel()
-		s.recordEnd(s.previous.id, s.previous.failedEnd())
+		s.recordEnd(s.previous.id, s.previous.path[0].Worker, s.previous.failedEnd())
 		s.previous = nil
 	}
 }
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -135,9 +135,9 @@
 		s.attempt.cancel()
 		end := s.attempt.failedEnd()
 		if completed {
-			end = attemptCompleted
+			end = completeEnd(s.attempt.closeDelimited)
 		}
-		s.recordEnd(s.attempt.id, end)
+		s.recordEnd(s.attempt.id, s.attempt.path[0].Worker, end)
 	}
 }
 
@@ -271,7 +271,7 @@
 // launch sends the call on a path. Results arrive in s.results until the attempt is cancelled.
 func (s *streamRun) launch(ctx context.Context, p path.Path, d path.Demand) {
 	if s.attempt != nil && s.attempt != s.previous {
-		s.recordEnd(s.attempt.id, s.attempt.failedEnd())
+		s.recordEnd(s.attempt.id, s.attempt.path[0].Worker, s.attempt.failedEnd())
 	}
 	s.launched++
 	s.attempt = &attempt{number: s.launched, path: p, demand: d, continues: s.eventCount == 0}
