Let crashes of faulty endpoints mark requests weakly in place of not at all

Cause: an endpoint with three crashes that no request explains counts as faulty, and its crashes gave no marks. Where all workers of a service have such a history, no request could be blamed.

Evidence: TestCrashingRequestAtFaultyEndpoints fails before.

Change: such crashes give late marks, three of which refuse a request. Marks between hosts of the product's own interface carry that, too; they dropped it. TestSickEndpoint asked for no marks at all after the second crash; its promise, that unrelated requests are not refused, it now checks by their rulings, also after a second crash, and by the strength of each mark.

--- a/internal/core/quarantine/event.go
+++ b/internal/core/quarantine/event.go
@@ -35,7 +35,8 @@
 	At          time.Time
 	// Cleared means that the request completed at that time, which removes all earlier marks.
 	Cleared bool
-	// Late means that the request had run for some time when the endpoint crashed, which is weaker evidence.
+	// Late means that the request had run for some time when the endpoint crashed, or that the endpoint is faulty, which is
+	// weaker evidence.
 	Late bool
 	// Part is true if the fingerprint is that of a part of prompts; Depth is the place of the part in prompts, from 0.
 	Part  bool
@@ -62,7 +63,7 @@
 // Cleared reports whether the mark clears earlier ones.
 func (m Mark) Cleared() bool { return m.cfg.Cleared }
 
-// Late reports whether the request had run for some time when the endpoint crashed.
+// Late reports whether the mark is weaker evidence.
 func (m Mark) Late() bool { return m.cfg.Late }
 
 // Part reports whether the mark is about a part of prompts.
@@ -184,8 +185,8 @@
 // Marks returns the marks to send.
 func (d SendMarks) Marks() []Mark { return d.marks }
 
-// FaultyEndpoint reports that an endpoint is faulty: it crashes with unrelated requests, so its crashes no
-// longer mark requests.
+// FaultyEndpoint reports that an endpoint is faulty: it crashes with unrelated requests, so its crashes are weaker evidence
+// against requests from now on.
 type FaultyEndpoint struct{ endpoint table.EndpointID }
 
 // Endpoint returns the endpoint.
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -314,21 +314,19 @@
 	wasFaulty := h.faulty
 	explained := s.explains(now, crash) || s.explainedElsewhere(now, endpoint, suspects)
 	h.record(pastCrash{id: crash, at: now, requests: suspects, explained: explained}, s.cfg)
-	if h.faulty {
-		if wasFaulty {
-			return nil
-		}
-		return []Decision{FaultyEndpoint{endpoint: endpoint}}
+	var out []Decision
+	if h.faulty && !wasFaulty {
+		out = append(out, FaultyEndpoint{endpoint: endpoint})
 	}
 	var marks []Mark
 	for f, run := range s.unmarked(now, endpoint) {
-		m := NewMark(MarkConfig{Fingerprint: f, Crash: crash, At: now, Late: !run.early, Parts: run.parts})
+		m := NewMark(MarkConfig{Fingerprint: f, Crash: crash, At: now, Late: !run.early || h.faulty, Parts: run.parts})
 		if s.merge(now, m) {
 			marks = append(marks, m)
 		}
 	}
 	slices.SortFunc(marks, func(a, b Mark) int { return compareFingerprints(a.cfg.Fingerprint, b.cfg.Fingerprint) })
-	return sendMarks(marks)
+	return append(out, sendMarks(marks)...)
 }
 
 // suspects returns the distinct requests on an endpoint that have not run for some time, sorted.
--- a/internal/daemon/run/peers.go
+++ b/internal/daemon/run/peers.go
@@ -215,7 +215,7 @@
 	for _, x := range list {
 		f := x.Fingerprint()
 		out = append(out, &hostpb.CrashMark{
-			Fingerprint: f[:], Crash: string(x.Crash()), AgeMs: now.Sub(x.At()).Milliseconds(), Cleared: x.Cleared(),
+			Fingerprint: f[:], Crash: string(x.Crash()), AgeMs: now.Sub(x.At()).Milliseconds(), Cleared: x.Cleared(), Late: x.Late(),
 		})
 	}
 	m.members.BroadcastMarks(ctx, out)
@@ -230,6 +230,6 @@
 	copy(f[:], in.GetFingerprint())
 	at := time.Now().Add(-time.Duration(in.GetAgeMs()) * time.Millisecond)
 	d.loop.AddMarks([]quarantine.Mark{quarantine.NewMark(quarantine.MarkConfig{
-		Fingerprint: f, Crash: quarantine.CrashID(in.GetCrash()), At: at, Cleared: in.GetCleared(),
+		Fingerprint: f, Crash: quarantine.CrashID(in.GetCrash()), At: at, Cleared: in.GetCleared(), Late: in.GetLate(),
 	})})
 }
--- a/internal/daemon/streams/loop.go
+++ b/internal/daemon/streams/loop.go
@@ -171,7 +171,7 @@
 		l.spread(ctx, d.Marks())
 	case quarantine.FaultyEndpoint:
 		l.cfg.Log.WithField("endpoint", d.Endpoint()).
-			Warn("endpoint crashed with different requests; its crashes add no crash marks")
+			Warn("endpoint crashed with different requests; its crashes add weaker crash marks")
 	}
 }
 
