Tell requests with long bodies apart by the beginning of their bodies

Cause: the fingerprint of a request covered only bodies that are kept whole. All longer ones of a caller on one path had the same fingerprint, that of an empty body: sound ones cleared the marks of the crashing one, or were refused by them.

Change: the first 64 KB of a longer body are read before the call, as for chunked ones before, and go into the fingerprint with the length.

--- a/internal/daemon/forward/body.go
+++ b/internal/daemon/forward/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,21 +87,25 @@
 	return n, err
 }
 
+// identity returns what tells the body from others: all of a short one, the length and the beginning of a longer one.
+func (b *requestBody) identity() []byte {
+	if !b.streamed {
+		return b.short
+	}
+	return append(strconv.AppendInt(nil, b.length, 10), b.ahead...)
+}
+
 // sourceReader reads the source for a holder of reading.
 type sourceReader struct{ *requestBody }
 
 // Read implements io.Reader.
 func (s sourceReader) Read(p []byte) (int, error) { return s.read(p) }
 
-// buffer reads the body if it is short, until the deadline at most.
+// buffer reads a short body, or the beginning of a longer one, until the deadline at most.
 func (b *requestBody) buffer(deadline time.Time) error {
 	if b.complete.Load() {
 		return nil
 	}
-	if b.length > maxBufferedBytes {
-		b.streamed = true
-		return nil
-	}
 	if err := b.setReadDeadline(deadline); err != nil {
 		return err
 	}
--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -232,7 +232,7 @@
 // identify computes the fingerprints of the request, which are the same for its repeats, and of the parts of its prompt that
 // other requests share.
 func (r *run) identify() {
-	content := append([]byte(r.call.Method+" "+r.call.Host+r.call.Target+"\n"), r.body.short...)
+	content := append([]byte(r.call.Method+" "+r.call.Host+r.call.Target+"\n"), r.body.identity()...)
 	r.fingerprint = quarantine.FingerprintOf(table.ServiceID(r.service), table.WorkspaceID(r.workspace), content)
 	for i, id := range r.call.PromptParts {
 		if i < len(r.call.PromptParts)-1 {
