Take a long plain answer for complete only once its end was relayed

What callers saw: a request to a plain service that crashes the worker in the middle of an answer over 64 KB went on to crash workers without end.

Cause: the attempt ended as complete when the first 64 KB of its answer had been read. The rest is passed on from the connection, and how that ended was never recorded: the marks were cleared and the crash blamed nobody.

Change: the end of such an attempt is recorded when the rest has been relayed or has broken off.

--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -315,6 +315,8 @@
 	attemptNotRun attemptEnd = "not_run"
 	// attemptUnproven got a response that ended with its connection, which it also does if the endpoint crashes.
 	attemptUnproven attemptEnd = "unproven"
+	// attemptRelaying has got the beginning of a response, and its end is recorded once the rest has been relayed.
+	attemptRelaying attemptEnd = "relaying"
 )
 
 // completeEnd returns how an attempt ended that got a response which is complete as far as its framing tells.
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -10,6 +10,7 @@
 
 	"waxwingplank/internal/core/balance"
 	"waxwingplank/internal/core/deployment"
+	"waxwingplank/internal/core/table"
 )
 
 const (
@@ -28,6 +29,23 @@
 	tail io.Reader
 	// cancel, if not nil, ends the attempt once the tail has been relayed.
 	cancel context.CancelFunc
+	// recordEnd, if not nil, records the end of the attempt: how the copy of the tail to the caller ended.
+	recordEnd func(copied error)
+}
+
+// tailReader keeps the error with which an endpoint's response broke off.
+type tailReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (t *tailReader) Read(p []byte) (int, error) {
+	n, err := t.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		t.err = err
+	}
+	return n, err
 }
 
 // servePlain sends the call to endpoints of a plain service until one of them serves it.
@@ -136,7 +154,11 @@
 	})
 	attempt := r.recordStart(e.ID)
 	end := attemptFailed
-	defer func() { r.recordEnd(attempt, e.ID, end) }()
+	defer func() {
+		if end != attemptRelaying {
+			r.recordEnd(attempt, e.ID, end)
+		}
+	}()
 	sentAt := time.Now()
 	reply, err := r.f.cfg.Endpoints.Send(ctx, r.newSend(e, nil, r.call.ResumeAfter))
 	if err != nil {
@@ -182,9 +204,29 @@
 	case reply.Status < http.StatusMultipleChoices && !reply.Verified:
 		return nil, balance.Failed, errNotGenuine
 	}
+	if answer.tail != nil {
+		end = attemptRelaying
+		r.recordTail(ctx, attempt, e.ID, answer)
+	}
 	return answer, balance.Served, nil
 }
 
+// recordTail lets the end of an attempt be recorded once the tail of its response has been relayed.
+func (r *run) recordTail(ctx context.Context, attempt table.StreamID, endpoint string, answer *bufferedReply) {
+	tail := &tailReader{Reader: answer.tail}
+	answer.tail = tail
+	answer.recordEnd = func(copied error) {
+		end := attemptFailed
+		switch {
+		case tail.err != nil:
+			r.recordBroken(ctx, attempt, endpoint, true, tail.err)
+		case copied == nil:
+			end = completeEnd(answer.reply.CloseDelimited)
+		}
+		r.recordEnd(attempt, endpoint, end)
+	}
+}
+
 var errAttemptTimeout = errors.New("forward: time of the attempt is up")
 
 var errNotGenuine = errors.New("forward: answer without proof of origin")
@@ -228,7 +270,11 @@
 	if answer.tail != nil {
 		body = io.MultiReader(body, answer.tail)
 	}
-	if _, err := io.Copy(r.w, body); err != nil {
+	_, err := io.Copy(r.w, body)
+	if answer.recordEnd != nil {
+		answer.recordEnd(err)
+	}
+	if err != nil {
 		r.abort(causeResponseLost)
 	}
 	r.log("answered", map[string]any{fieldEndpoint: e.ID, fieldStatus: answer.reply.Status, fieldSends: r.sends})
