Find what explains crashes in one pass over the requests

A verdict after a new mark looked through all marked requests for each part that shares the crashes of another. Marks that peers report again made the explanations stale, too.

--- a/internal/core/quarantine/blame.go
+++ b/internal/core/quarantine/blame.go
@@ -113,13 +113,15 @@
 	if len(out) == 0 {
 		return nil
 	}
+	requests := map[Fingerprint]int{}
 	for _, r := range s.requests {
-		for i := range out {
-			if slices.Contains(r.parts, out[i].fingerprint) {
-				out[i].requests++
-			}
+		for _, f := range r.parts {
+			requests[f]++
 		}
 	}
+	for i := range out {
+		out[i].requests = requests[out[i].fingerprint]
+	}
 	return out
 }
 
@@ -136,12 +138,18 @@
 		g.until = later(g.until, at.Add(s.cfg.Lifetime))
 	}
 	g.parts = []Fingerprint{best.fingerprint}
+	var holders []*request
+	for _, r := range s.requests {
+		if slices.Contains(r.parts, best.fingerprint) {
+			holders = append(holders, r)
+		}
+	}
 	rivals := 0
 	for _, c := range candidates {
 		if c.fingerprint == best.fingerprint || !slices.Equal(slices.Sorted(maps.Keys(c.crashes)), g.crashes) {
 			continue
 		}
-		if s.heldTogether(append(slices.Clone(g.parts), c.fingerprint), g.crashes) {
+		if heldTogether(holders, append(slices.Clone(g.parts), c.fingerprint), g.crashes) {
 			g.parts = append(g.parts, c.fingerprint)
 		} else {
 			rivals++
@@ -165,10 +173,10 @@
 	}
 }
 
-// heldTogether reports whether a request with all of the parts was in each of the crashes.
-func (s *System) heldTogether(parts []Fingerprint, crashes []CrashID) bool {
+// heldTogether reports whether one of the requests with all of the parts was in each of the crashes.
+func heldTogether(requests []*request, parts []Fingerprint, crashes []CrashID) bool {
 	seen := map[CrashID]bool{}
-	for _, r := range s.requests {
+	for _, r := range requests {
 		if slices.ContainsFunc(parts, func(f Fingerprint) bool { return !slices.Contains(r.parts, f) }) {
 			continue
 		}
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -355,7 +355,7 @@
 	for stream, f := range s.running[id] {
 		r := s.streams[stream]
 		if !r.marked {
-			fresh[f] = unmarkedRun{early: fresh[f].early || !(r.ran || r.unproven), parts: r.parts}
+			fresh[f] = unmarkedRun{early: fresh[f].early || (!r.ran && !r.unproven), parts: r.parts}
 			r.markedAt = now
 		}
 		r.marked = true
@@ -399,10 +399,12 @@
 		// The deepest parts are those that the fewest requests share.
 		r.parts = m.cfg.Parts[max(0, len(m.cfg.Parts)-maxPartsKept):]
 	}
-	s.blame.stale = true
-	defer s.updateProven(m.cfg.Fingerprint, r)
 	if m.cfg.Cleared {
-		return r.clear(at, s.cfg.Lifetime)
+		if !r.clear(at, s.cfg.Lifetime) {
+			return false
+		}
+		s.updateProven(m.cfg.Fingerprint, r)
+		return true
 	}
 	if !at.After(r.clearedAt) {
 		return false
@@ -419,10 +421,13 @@
 	r.marks[m.cfg.Crash] = merged
 	r.trimMarks()
 	r.updateRefusal(s.cfg.Lifetime)
+	s.updateProven(m.cfg.Fingerprint, r)
 	return !exists || old.late != merged.late
 }
 
+// updateProven is called when the marks of a request have changed.
 func (s *System) updateProven(f Fingerprint, r *request) {
+	s.blame.stale = true
 	if len(r.marks) >= anyMarksToRefuse {
 		s.proven[f] = true
 	} else {
