Take a peer's mark for evidence that an endpoint has ended, and send callers of a young refusal away for a second

A peer's mark of an instance now counts as a refused connection does: a host whose own run there broke off within two seconds marks its requests at once. A refusal that is younger than two seconds says Retry-After: 1 instead of 60, since marks on their way may lift it.

--- a/internal/core/quarantine/ended.go
+++ b/internal/core/quarantine/ended.go
@@ -68,19 +68,29 @@
 	return s.completed(now, r.brokenAt, r.fingerprint)
 }
 
-// refused handles a connection that an endpoint's host refused because nothing listens there.
-func (s *System) refused(now time.Time, e ConnectionRefused) []Decision {
-	instance := newCrashID(e.endpoint, e.incarnation)
+// refused handles evidence that an instance of an endpoint has ended: a connection that its host refused because nothing listens
+// there, or the mark of a peer.
+func (s *System) refused(now time.Time, instance CrashID) []Decision {
 	s.breaks.refusedAt[instance] = now
-	for id := range s.running[e.endpoint] {
+	endpoint := instance.endpoint()
+	for id := range s.running[endpoint] {
 		r := s.streams[id]
 		if r.instance == instance && !r.brokenAt.IsZero() && now.Sub(r.brokenAt) <= evidenceTime {
-			return s.ended(now, e.endpoint, instance)
+			return s.ended(now, endpoint, instance)
 		}
 	}
 	return nil
 }
 
+// endedAtPeer handles the mark of a peer, which knows that an instance of an endpoint has ended.
+func (s *System) endedAtPeer(now time.Time, instance CrashID) []Decision {
+	_, ended := s.breaks.endedAt[instance]
+	if _, known := s.breaks.refusedAt[instance]; known || ended || instance == "" {
+		return nil
+	}
+	return s.refused(now, instance)
+}
+
 // ended handles the end of an instance of an endpoint.
 func (s *System) ended(now time.Time, id table.EndpointID, instance CrashID) []Decision {
 	_, known := s.breaks.endedAt[instance]
--- a/internal/core/quarantine/event.go
+++ b/internal/core/quarantine/event.go
@@ -228,6 +228,7 @@
 	explained []CrashID
 	avoid     []table.EndpointID
 	until     time.Time
+	recent    bool
 }
 
 // Ruling returns the ruling.
@@ -243,5 +244,8 @@
 // the same crashes.
 func (v Verdict) Avoid() []table.EndpointID { return v.avoid }
 
+// Recent reports whether a refusal has just begun and may be lifted at once by what other hosts know.
+func (v Verdict) Recent() bool { return v.recent }
+
 // Until returns the time at which a refused request is admitted again.
 func (v Verdict) Until() time.Time { return v.until }
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -74,6 +74,20 @@
 	is.Equal(sim.ruling("other"), Clear)
 }
 
+// Guards against sending callers away for long whose request other hosts are about to clear.
+func TestRefusalIsRecent(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(Config{})
+	sim.run("r", "a")
+	sim.crash("a")
+	sim.run("r", "b")
+	sim.crash("b")
+	is.True(sim.s.Verdict(sim.now, fp("r")).Recent())
+	sim.now = sim.now.Add(evidenceTime)
+	is.Equal(sim.ruling("r"), Refuse)
+	is.True(!sim.s.Verdict(sim.now, fp("r")).Recent())
+}
+
 // Guards against a request that stays refused after unrelated crashes. Marks and the refusal expire
 // after 10 min.
 func TestRefusalEnds(t *testing.T) {
--- a/internal/core/quarantine/request.go
+++ b/internal/core/quarantine/request.go
@@ -8,10 +8,9 @@
 	"waxwingplank/internal/core/table"
 )
 
-// on reports whether the crash happened on the endpoint.
-func (c CrashID) on(id table.EndpointID) bool {
-	at := strings.LastIndexByte(string(c), '@')
-	return at >= 0 && string(c[:at]) == string(id)
+// endpoint returns the endpoint that crashed.
+func (c CrashID) endpoint() table.EndpointID {
+	return table.EndpointID(c[:max(0, strings.LastIndexByte(string(c), '@'))])
 }
 
 // liveCrashes returns the crashes whose marks have not expired, sorted.
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -139,7 +139,7 @@
 		case Broken:
 			out = append(out, s.broken(now, e)...)
 		case ConnectionRefused:
-			out = append(out, s.refused(now, e)...)
+			out = append(out, s.refused(now, newCrashID(e.endpoint, e.incarnation))...)
 		case PeerMarks:
 			out = append(out, s.mergePeerMarks(now, e.marks)...)
 		}
@@ -150,7 +150,9 @@
 // mergePeerMarks merges the marks of a peer.
 func (s *System) mergePeerMarks(now time.Time, marks []Mark) []Decision {
 	var pass []Mark
+	var out []Decision
 	for _, m := range marks {
+		out = append(out, s.endedAtPeer(now, m.cfg.Crash)...)
 		switch {
 		case m.cfg.Part:
 			pass = append(pass, s.parts.handlePeerMark(now, m)...)
@@ -159,9 +161,9 @@
 		}
 	}
 	if !s.cfg.PassOn {
-		return nil
+		return out
 	}
-	return sendMarks(pass)
+	return append(out, sendMarks(pass)...)
 }
 
 // Refusals returns the marks of the parts and of the requests that are refused, for hosts that have just started. Of the
@@ -195,7 +197,7 @@
 // Verdict returns the verdict on a request at the given time. parts are the parts of its prompt that other requests share.
 func (s *System) Verdict(now time.Time, f Fingerprint, parts ...Fingerprint) Verdict {
 	if g := s.refusing(now, parts); g != nil {
-		return Verdict{ruling: Refuse, until: g.until, crashes: g.crashes}
+		return Verdict{ruling: Refuse, until: g.until, crashes: g.crashes, recent: s.recent(now, g.until)}
 	}
 	r := s.requests[f]
 	if r == nil {
@@ -205,7 +207,7 @@
 	v := Verdict{crashes: crashes, explained: s.explained(now, crashes)}
 	switch {
 	case now.Before(r.refusedUntil) && s.refuses(now, r):
-		v.ruling, v.until = Refuse, r.refusedUntil
+		v.ruling, v.until, v.recent = Refuse, r.refusedUntil, s.recent(now, r.refusedUntil)
 	case len(crashes) == 0 || r.onlyLate():
 		v.ruling = Clear
 	default:
@@ -214,6 +216,11 @@
 	return v
 }
 
+// recent reports whether a refusal that ends at the given time is so young that peers may know of crashes that end it.
+func (s *System) recent(now, until time.Time) bool {
+	return until.Sub(now) > s.cfg.Lifetime-evidenceTime
+}
+
 // explained returns those of the crashes that are explained.
 func (s *System) explained(now time.Time, crashes []CrashID) []CrashID {
 	var out []CrashID
@@ -371,7 +378,7 @@
 			continue
 		}
 		for _, c := range r.liveCrashes(now, s.cfg.Lifetime) {
-			if !c.on(id) {
+			if c.endpoint() != id {
 				return true
 			}
 		}
--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -258,6 +258,10 @@
 		r.log("marked request admitted", fields)
 		return false
 	}
+	r.afterCrashes = retryAfterCrashes
+	if verdict.Recent() {
+		r.afterCrashes = retryAfterRecentCrashes
+	}
 	fields["until"] = verdict.Until()
 	r.log("request quarantined", fields)
 	return true
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -256,7 +256,7 @@
 	}
 	r.identify()
 	if r.crashesEndpoints() {
-		r.refuse(refusal{cause: causeCrashes, retryAfter: retryAfterCrashes})
+		r.refuse(refusal{cause: causeCrashes, retryAfter: r.afterCrashes})
 		return
 	}
 	if r.models != nil {
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -103,7 +103,7 @@
 	after := retryAfterBusy
 	switch {
 	case cause == causeCrashes:
-		after = retryAfterCrashes
+		after = r.afterCrashes
 	case !now.Before(r.deadline):
 		cause = causeDeadline
 	case !limitEnd.IsZero() && (cause == causeNoEndpoint || cause == causeRefused):
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -30,6 +30,9 @@
 	retryAfterLeaving = 20 * time.Millisecond
 	// retryAfterCrashes is for callers whose request crashes endpoints. It will be refused for minutes.
 	retryAfterCrashes = time.Minute
+	// retryAfterRecentCrashes is for callers whose request has just begun to be refused. Other hosts may know that it is not to
+	// blame, and what they know has arrived by then.
+	retryAfterRecentCrashes = time.Second
 	// retryAfterBusy is for callers of a plain service that has no free endpoint.
 	retryAfterBusy = 200 * time.Millisecond
 )
@@ -83,6 +86,8 @@
 	fingerprint quarantine.Fingerprint
 	parts       []quarantine.Fingerprint
 	attempts    int
+	// afterCrashes is the Retry-After of a request that crashes endpoints.
+	afterCrashes time.Duration
 }
 
 // rejection is a response of this host's own to a call that it does not take up.
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -175,7 +175,7 @@
 	deadline := time.Now().Add(timeout)
 	for {
 		if s.launched > 0 && s.crashesEndpoints() {
-			s.finish(causeCrashes, retryAfterCrashes)
+			s.finish(causeCrashes, s.afterCrashes)
 			return false
 		}
 		// Workers on which the call failed are used again only in the second half of the timeout, if no others are
