--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -26,7 +26,7 @@
 	maxCrashesKept = 8
 	// Requests kept per crash; an endpoint has fewer slots than this.
 	maxRequestsPerCrash = 256
-	// Parts kept per request; prompts have two to four.
+	// Parts kept per request.
 	maxPartsKept = 16
 )
 
@@ -56,7 +56,7 @@
 }
 
 type run struct {
-	// marked is true once the run has caused a mark. Endpoints of one pipeline that crash together, for
+	// marked is true once the run has caused a mark, at markedAt. Endpoints of one pipeline that crash together, for
 	// example in a rack failure, count as one mark.
 	marked      bool
 	markedAt    time.Time
