--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -136,7 +136,7 @@
 	for _, m := range marks {
 		if m.Part() {
 			c.log.Decision("", "prompt part marked", map[string]any{
-				"part": shortFingerprint(m.Fingerprint()), "crash": string(m.Crash()), "cleared": m.Cleared(), "at": m.At(),
+				"part": shortFingerprint(m.Fingerprint()), "depth": m.Depth(), "crash": string(m.Crash()), "cleared": m.Cleared(), "at": m.At(),
 			})
 		}
 	}
@@ -181,6 +181,14 @@
 	return hex.EncodeToString(f[:fingerprintLogBytes])
 }
 
+func shortFingerprints(all []quarantine.Fingerprint) []string {
+	out := make([]string, len(all))
+	for i, f := range all {
+		out[i] = shortFingerprint(f)
+	}
+	return out
+}
+
 // Marks returns the crash marks to report to peers.
 func (f *Forwarder) Marks() []Mark {
 	f.mu.Lock()
@@ -251,7 +259,7 @@
 		return false
 	}
 	fields := map[string]any{
-		fieldContent: shortFingerprint(r.fingerprint), fieldParts: r.call.PromptParts, "crashes": verdict.Crashes(),
+		fieldContent: shortFingerprint(r.fingerprint), fieldParts: shortFingerprints(r.parts), "crashes": verdict.Crashes(),
 		"explained": verdict.Explained(), fieldSends: r.sends,
 	}
 	if verdict.Ruling() != quarantine.Refuse {
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -150,7 +150,7 @@
 	}
 	r.log("sent", map[string]any{
 		fieldEndpoint: e.ID, fieldAddress: e.Address, "route": r.route.Name, "config": r.version, fieldSends: r.sends,
-		fieldParts: r.call.PromptParts, fieldContent: shortFingerprint(r.fingerprint),
+		fieldParts: shortFingerprints(r.parts), fieldContent: shortFingerprint(r.fingerprint),
 	})
 	attempt := r.recordStart(e.ID)
 	end := attemptFailed
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -282,7 +282,7 @@
 	send := s.newSend(e, p, s.lastID)
 	s.log("sent", map[string]any{
 		fieldPath: p.String(), "route": s.route.Name, "config": s.version, fieldSends: s.sends, "after": s.lastID,
-		"prompt": s.call.PromptTokens, fieldParts: s.call.PromptParts, fieldContent: shortFingerprint(s.fingerprint), "left_ms": send.TimeLeft.Milliseconds(),
+		"prompt": s.call.PromptTokens, fieldParts: shortFingerprints(s.parts), "part_ids": s.call.PromptParts, fieldContent: shortFingerprint(s.fingerprint), "left_ms": send.TimeLeft.Milliseconds(),
 	})
 	s.attempt.id = s.recordStart(workersOf(p)...)
 	go s.pump(ctx, send, s.attempt.number)
