Blame what was in the most crashes first, and leave requests in doubt that share crashes by chance

Cause: a request that was in three crashes explained them before parts were looked at. Callers and hosts send again what a crash broke off, so that dozens of sound requests were in the first crashes. They took the blame, and the crashes no longer counted against the part.

Now the smallest set of requests and parts that covers the crashes is blamed. Requests in exactly the same crashes are in doubt, are not refused, and run one at a time on each host until the next crash tells them apart.

--- a/internal/core/quarantine/blame.go
+++ b/internal/core/quarantine/blame.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -11,16 +12,23 @@
 	marksToRefusePart = 3
 	// marksToRefuseRival is how many crashes refuse one of several parts that were in exactly the same crashes.
 	marksToRefuseRival = 5
+	// marksToRefuseTied is how many crashes refuse all of several requests that were in exactly the same crashes. Requests that share
+	// crashes by chance run one at a time after the second, so that further crashes tell them apart.
+	marksToRefuseTied = 5
 	// sameMoment is the time within which several crashes count once, because machines that fail together have one cause.
 	sameMoment = 100 * time.Millisecond
 )
 
-// blame says what explains the crashes of late. The narrowest explanation comes first: a request that was in three crashes
-// explains them, and only the crashes that no request explains count against parts of prompts.
+// blame says what explains the crashes of late: the smallest set of requests and parts of prompts that covers them. What was in
+// the most crashes comes first; of a request and a part in the same crashes, the request does, unless several requests share them.
 type blame struct {
-	// groups are the refused parts.
-	groups []partGroup
-	// explained holds the crashes that a request or a refused part explains.
+	// groups are the refused parts, requests the refused requests.
+	groups   []partGroup
+	requests map[Fingerprint]bool
+	// doubtful holds the requests and parts that were in crashes together with others, so that the next crash has to tell which of
+	// them cause it.
+	doubtful map[Fingerprint]bool
+	// explained holds the crashes that a refused request or part explains.
 	explained map[CrashID]bool
 	stale     bool
 }
@@ -32,13 +40,22 @@
 	until   time.Time
 }
 
-// candidate is a part with crashes that nothing explains yet.
-type candidate struct {
+// suspect is a request or a part of prompts with crashes that nothing explains yet.
+type suspect struct {
 	fingerprint Fingerprint
-	depth       int
-	crashes     map[CrashID]time.Time
-	// requests counts the marked requests that hold the part.
-	requests int
+	// request is nil for a part.
+	request *request
+	depth   int
+	crashes map[CrashID]time.Time
+	// holders counts the marked requests that hold a part.
+	holders int
+}
+
+// tie holds the suspects that were in exactly the same crashes.
+type tie struct {
+	crashes  []CrashID
+	requests []suspect
+	parts    []suspect
 }
 
 // refusing returns the group whose parts are all among the given ones, or nil.
@@ -56,88 +73,207 @@
 	return nil
 }
 
-// explains reports whether a request or a refused part explains a crash.
+// explains reports whether a refused request or part explains a crash.
 func (s *System) explains(now time.Time, c CrashID) bool {
 	s.updateBlame(now)
 	return s.blame.explained[c]
 }
 
+// isDoubtful reports whether a request, or a part of its prompt, shares its crashes with others.
+func (s *System) isDoubtful(now time.Time, f Fingerprint, parts []Fingerprint) bool {
+	s.updateBlame(now)
+	return s.blame.doubtful[f] || slices.ContainsFunc(parts, func(p Fingerprint) bool { return s.blame.doubtful[p] })
+}
+
 // updateBlame finds the explanations anew if marks have changed.
 func (s *System) updateBlame(now time.Time) {
 	if !s.blame.stale && !s.parts.changed {
 		return
 	}
-	s.blame, s.parts.changed = blame{explained: map[CrashID]bool{}}, false
-	for f := range s.proven {
-		if crashes := s.requests[f].liveCrashes(now, s.cfg.Lifetime); len(crashes) >= anyMarksToRefuse {
-			for _, c := range crashes {
-				s.blame.explained[c] = true
-			}
-		}
-	}
-	candidates := s.candidates(now)
+	s.blame = blame{requests: map[Fingerprint]bool{}, doubtful: map[Fingerprint]bool{}, explained: map[CrashID]bool{}}
+	s.parts.changed = false
+	suspects := append(s.suspectRequests(now), s.suspectParts(now)...)
 	for {
-		candidates = withEnoughCrashes(candidates)
-		if len(candidates) == 0 {
+		suspects = slices.DeleteFunc(suspects, func(x suspect) bool { return len(x.crashes) < marksToRefuse })
+		if len(suspects) == 0 {
 			return
 		}
-		g, decided := s.bestGroup(candidates)
-		for _, c := range candidates {
-			for _, crash := range g.crashes {
-				delete(c.crashes, crash)
+		t := strongest(suspects)
+		s.decide(&t)
+		for _, x := range suspects {
+			for _, c := range t.crashes {
+				delete(x.crashes, c)
 			}
 		}
-		if !decided {
+	}
+}
+
+// suspectRequests returns the requests that have enough marks to be refused.
+func (s *System) suspectRequests(now time.Time) []suspect {
+	var out []suspect
+	for f := range s.suspected {
+		r := s.requests[f]
+		if !now.Before(r.refusedUntil) {
 			continue
 		}
-		s.blame.groups = append(s.blame.groups, g)
-		for _, crash := range g.crashes {
-			s.blame.explained[crash] = true
+		x := suspect{fingerprint: f, request: r, crashes: map[CrashID]time.Time{}}
+		for c, m := range r.marks {
+			x.crashes[c] = m.at
 		}
+		out = append(out, x)
 	}
+	return out
 }
 
-// candidates returns the parts with the crashes that no request explains.
-func (s *System) candidates(now time.Time) []candidate {
-	var out []candidate
+// suspectParts returns the parts that were in several crashes.
+func (s *System) suspectParts(now time.Time) []suspect {
+	var out []suspect
 	for f, p := range s.parts.parts {
 		maps.DeleteFunc(p.marks, func(_ CrashID, at time.Time) bool { return now.Sub(at) >= s.cfg.Lifetime })
-		if len(p.marks) < marksToRefusePart {
-			continue
+		if moments(p.marks) >= marksToRefuse {
+			out = append(out, suspect{fingerprint: f, depth: p.depth, crashes: maps.Clone(p.marks)})
 		}
-		c := candidate{fingerprint: f, depth: p.depth, crashes: maps.Clone(p.marks)}
-		maps.DeleteFunc(c.crashes, func(crash CrashID, _ time.Time) bool { return s.blame.explained[crash] })
-		out = append(out, c)
 	}
-	out = withEnoughCrashes(out)
 	if len(out) == 0 {
 		return nil
 	}
-	requests := map[Fingerprint]int{}
+	holders := map[Fingerprint]int{}
 	for _, r := range s.requests {
 		for _, f := range r.parts {
-			requests[f]++
+			holders[f]++
 		}
 	}
 	for i := range out {
-		out[i].requests = requests[out[i].fingerprint]
+		out[i].holders = holders[out[i].fingerprint]
+	}
+	return out
+}
+
+// strongest returns the suspects that were in the most crashes. If several sets of crashes are equally large, it is the one that
+// the fewest suspects share.
+func strongest(suspects []suspect) tie {
+	most := 0
+	for _, x := range suspects {
+		most = max(most, len(x.crashes))
+	}
+	ties := map[string]*tie{}
+	for _, x := range suspects {
+		if len(x.crashes) < most {
+			continue
+		}
+		crashes := slices.Sorted(maps.Keys(x.crashes))
+		key := crashKey(crashes)
+		t := ties[key]
+		if t == nil {
+			t = &tie{crashes: crashes}
+			ties[key] = t
+		}
+		if x.request != nil {
+			t.requests = append(t.requests, x)
+		} else {
+			t.parts = append(t.parts, x)
+		}
+	}
+	var best *tie
+	for _, key := range slices.Sorted(maps.Keys(ties)) {
+		if t := ties[key]; best == nil || len(t.requests)+len(t.parts) < len(best.requests)+len(best.parts) {
+			best = t
+		}
+	}
+	return *best
+}
+
+func crashKey(crashes []CrashID) string {
+	var b strings.Builder
+	for _, c := range crashes {
+		b.WriteString(string(c))
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
+
+// decide refuses one of the suspects that were in the same crashes, or records that it is in doubt which of them causes them.
+//
+// A part of a request in all of the crashes explains no more than the request does, and is no suspect of its own.
+func (s *System) decide(t *tie) {
+	t.parts = slices.DeleteFunc(t.parts, func(p suspect) bool {
+		return slices.ContainsFunc(t.requests, func(r suspect) bool { return slices.Contains(r.request.parts, p.fingerprint) })
+	})
+	early := t.earliest()
+	switch {
+	case len(t.requests) == 1 && t.refusesRequest():
+		s.refuseRequests(t, t.requests)
+	case len(t.parts) > 0 && len(t.requests) != 1 && s.refuseParts(t):
+	case len(t.requests) > 1 && len(t.parts) == 0 && len(early) == 1 && len(t.crashes) >= anyMarksToRefuse:
+		s.refuseRequests(t, early)
+	case len(t.requests) > 1 && len(t.parts) == 0 && len(t.crashes) >= marksToRefuseTied:
+		s.refuseRequests(t, t.requests)
+	default:
+		for _, x := range append(t.requests, t.parts...) {
+			s.blame.doubtful[x.fingerprint] = true
+		}
+	}
+}
+
+// refusesRequest reports whether a request that was alone in all of the crashes has enough of them: three, or two in which it had
+// not run for some time and that no part shares.
+func (t *tie) refusesRequest() bool {
+	if len(t.crashes) >= anyMarksToRefuse {
+		return true
+	}
+	return t.earlyMarks(t.requests[0]) >= marksToRefuse && len(t.parts) == 0
+}
+
+// earlyMarks counts the crashes in which a request had not run for some time.
+func (t *tie) earlyMarks(x suspect) int {
+	n := 0
+	for _, c := range t.crashes {
+		if !x.request.marks[c].late {
+			n++
+		}
+	}
+	return n
+}
+
+// earliest returns the requests that had not run for some time in the most crashes.
+func (t *tie) earliest() []suspect {
+	var out []suspect
+	most := 0
+	for _, x := range t.requests {
+		switch n := t.earlyMarks(x); {
+		case n > most:
+			most, out = n, []suspect{x}
+		case n == most:
+			out = append(out, x)
+		}
 	}
 	return out
 }
 
-func withEnoughCrashes(candidates []candidate) []candidate {
-	return slices.DeleteFunc(candidates, func(c candidate) bool { return moments(c.crashes) < marksToRefusePart })
+func (s *System) refuseRequests(t *tie, requests []suspect) {
+	for _, x := range requests {
+		s.blame.requests[x.fingerprint] = true
+	}
+	s.explain(t.crashes)
+}
+
+func (s *System) explain(crashes []CrashID) {
+	for _, c := range crashes {
+		s.blame.explained[c] = true
+	}
 }
 
-// bestGroup returns the parts that explain the most crashes. It is undecided where several parts do that are in different
-// requests, until so many crashes have had all of them that one of them has to be refused; it is then the rarest part.
-func (s *System) bestGroup(candidates []candidate) (g partGroup, decided bool) {
-	best := slices.MinFunc(candidates, compareCandidates)
-	g.crashes = slices.Sorted(maps.Keys(best.crashes))
+// refuseParts refuses the parts that explain the crashes and reports whether it does. It is undecided where several parts do that
+// are in different requests, until so many crashes have had all of them that one of them has to be refused; it is then the rarest.
+func (s *System) refuseParts(t *tie) bool {
+	best := slices.MinFunc(t.parts, compareParts)
+	if moments(best.crashes) < marksToRefusePart {
+		return false
+	}
+	g := partGroup{parts: []Fingerprint{best.fingerprint}, crashes: t.crashes}
 	for _, at := range best.crashes {
 		g.until = later(g.until, at.Add(s.cfg.Lifetime))
 	}
-	g.parts = []Fingerprint{best.fingerprint}
 	var holders []*request
 	for _, r := range s.requests {
 		if slices.Contains(r.parts, best.fingerprint) {
@@ -145,27 +281,30 @@
 		}
 	}
 	rivals := 0
-	for _, c := range candidates {
-		if c.fingerprint == best.fingerprint || !slices.Equal(slices.Sorted(maps.Keys(c.crashes)), g.crashes) {
+	for _, p := range t.parts {
+		if p.fingerprint == best.fingerprint {
 			continue
 		}
-		if heldTogether(holders, append(slices.Clone(g.parts), c.fingerprint), g.crashes) {
-			g.parts = append(g.parts, c.fingerprint)
+		if heldTogether(holders, append(slices.Clone(g.parts), p.fingerprint), g.crashes) {
+			g.parts = append(g.parts, p.fingerprint)
 		} else {
 			rivals++
 		}
 	}
+	if rivals > 0 && moments(best.crashes) < marksToRefuseRival {
+		return false
+	}
 	slices.SortFunc(g.parts, compareFingerprints)
-	return g, rivals == 0 || moments(best.crashes) >= marksToRefuseRival
+	s.blame.groups = append(s.blame.groups, g)
+	s.explain(t.crashes)
+	return true
 }
 
-// compareCandidates orders parts by how well they explain crashes: most crashes first, then the rarest, then the deepest.
-func compareCandidates(a, b candidate) int {
+// compareParts orders parts in the same crashes: the rarest first, then the deepest.
+func compareParts(a, b suspect) int {
 	switch {
-	case len(a.crashes) != len(b.crashes):
-		return len(b.crashes) - len(a.crashes)
-	case a.requests != b.requests:
-		return a.requests - b.requests
+	case a.holders != b.holders:
+		return a.holders - b.holders
 	case a.depth != b.depth:
 		return b.depth - a.depth
 	default:
--- a/internal/core/quarantine/ended.go
+++ b/internal/core/quarantine/ended.go
@@ -36,6 +36,7 @@
 		return nil
 	}
 	r.ran = true
+	delete(s.trials, e.stream)
 	return sendMarks(s.parts.ran(now, r.parts))
 }
 
@@ -46,6 +47,7 @@
 		return nil
 	}
 	r.brokenAt = now
+	delete(s.trials, e.stream)
 	if at, ok := s.breaks.refusedAt[r.instance]; ok && now.Sub(at) <= evidenceTime {
 		return s.ended(now, r.endpoints[0], r.instance)
 	}
--- a/internal/core/quarantine/event.go
+++ b/internal/core/quarantine/event.go
@@ -229,6 +229,7 @@
 	avoid     []table.EndpointID
 	until     time.Time
 	recent    bool
+	waits     bool
 }
 
 // Ruling returns the ruling.
@@ -247,5 +248,9 @@
 // Recent reports whether a refusal has just begun and may be lifted at once by what other hosts know.
 func (v Verdict) Recent() bool { return v.recent }
 
+// Waits reports whether the request shares its crashes with others, one of which runs here. If both ran, the next crash would not
+// tell which of them causes it.
+func (v Verdict) Waits() bool { return v.waits }
+
 // Until returns the time at which a refused request is admitted again.
 func (v Verdict) Until() time.Time { return v.until }
--- a/internal/core/quarantine/model_test.go
+++ b/internal/core/quarantine/model_test.go
@@ -24,6 +24,10 @@
 	// endpoints after that.
 	knownTime = 3 * time.Second
 	maxLate   = 3
+	// maxPartCrashes is how many crashes a part of prompts may cause before it has to be known.
+	maxPartCrashes = 5
+	maxReturns     = 3
+	returnDelay    = 100 * time.Millisecond
 )
 
 // TestMain fixes the seed of the property tests, so that a failure can be repeated.
@@ -60,6 +64,19 @@
 	closeDelimited bool
 	guiltyPart     bool
 	parts          int
+	// returning makes callers send sound requests again whose endpoint crashed, at most maxReturns times.
+	returning bool
+	returns   []modelReturn
+	// limit is how many crashes there may be before the cause has to be known.
+	limit int
+}
+
+// modelReturn is a sound request that its caller sends again.
+type modelReturn struct {
+	at    time.Time
+	name  string
+	parts []Fingerprint
+	tries int
 }
 
 // modelLetter is marks on their way to the other hosts.
@@ -96,6 +113,9 @@
 	started     time.Time
 	guilty      bool
 	ran         bool
+	name        string
+	parts       []Fingerprint
+	tries       int
 	// endedAt is when it ended. It then stays a suspect until its endpoint is known to live.
 	endedAt time.Time
 }
@@ -109,9 +129,16 @@
 }
 
 // send sends a request through a host, if the host admits it.
-func (w *modelWorld) send(t *rapid.T, host int, name string, guilty bool, parts []Fingerprint) {
+func (w *modelWorld) send(t *rapid.T, host int, name string, guilty bool, parts []Fingerprint, tries int) {
 	content := fp(name)
-	if v := w.hosts[host].Verdict(w.now, content, parts...); v.Ruling() == Refuse {
+	v := w.hosts[host].Verdict(w.now, content, parts...)
+	if w.returning && v.Ruling() != Refuse && v.Waits() {
+		if !guilty {
+			w.returns = append(w.returns, modelReturn{at: w.now.Add(modelStep), name: name, parts: parts, tries: tries})
+		}
+		return
+	}
+	if v.Ruling() == Refuse {
 		if !guilty && !v.Recent() {
 			w.refused = append(w.refused, name)
 		}
@@ -129,11 +156,11 @@
 		}
 		r := &modelRun{
 			host: host, id: table.StreamID(fmt.Sprintf("%s/%d", name, len(w.runs))), content: content, worker: worker, incarnation: worker.incarnation,
-			started: w.now, guilty: guilty,
+			started: w.now, guilty: guilty, name: name, parts: parts, tries: tries,
 		}
 		w.runs = append(w.runs, r)
 		w.tick(host, NewStarted(r.id, content, []table.EndpointID{worker.id}).WithParts(worker.incarnation, parts))
-		if guilty && len(w.crashes) >= maxLate && w.now.Sub(w.crashes[maxLate-1]) > knownTime {
+		if guilty && len(w.crashes) >= w.limit && w.now.Sub(w.crashes[w.limit-1]) > knownTime {
 			w.late++
 		}
 		return
@@ -215,6 +242,17 @@
 		} else {
 			w.tick(r.host, NewBroken(r.id))
 		}
+		if w.returning && !r.guilty && r.tries < maxReturns {
+			w.returns = append(w.returns, modelReturn{at: w.now.Add(returnDelay), name: r.name, parts: r.parts, tries: r.tries + 1})
+		}
+	}
+	if !w.returning {
+		return
+	}
+	// The hosts connect to an endpoint whose connections broke.
+	for host := range w.hosts {
+		worker.known[host] = true
+		w.tick(host, NewConnectionRefused(worker.id, worker.incarnation))
 	}
 }
 
@@ -237,7 +275,7 @@
 	w := &modelWorld{
 		now: start, spread: ms("spread", 50, 300), away: ms("away", 300, 1200, 3000), crashDelay: ms("crash delay", 50, 200, 400),
 		sameIDs: rapid.Bool().Draw(t, "same IDs"), closeDelimited: rapid.Bool().Draw(t, "close-delimited"),
-		parts: rapid.IntRange(1, 6).Draw(t, "parts"),
+		parts: rapid.IntRange(1, 6).Draw(t, "parts"), limit: maxLate,
 	}
 	for range rapid.IntRange(1, 4).Draw(t, "hosts") {
 		w.hosts = append(w.hosts, New(Config{PassOn: true}))
@@ -255,18 +293,31 @@
 	end := start.Add(modelDuration)
 	for n := 0; w.now.Before(end); n++ {
 		w.advance()
-		for range rapid.IntRange(0, 2).Draw(t, "sound requests") {
+		due := w.returns
+		w.returns = nil
+		for _, r := range due {
+			if w.now.Before(r.at) {
+				w.returns = append(w.returns, r)
+				continue
+			}
+			w.send(t, w.drawHost(t), r.name, false, r.parts, r.tries)
+		}
+		most := 2
+		if w.returning {
+			most = 4
+		}
+		for range rapid.IntRange(0, most).Draw(t, "sound requests") {
 			w.sound++
 			part := fmt.Sprintf("p%d", rapid.IntRange(0, w.parts-1).Draw(t, "part"))
-			w.send(t, w.drawHost(t), fmt.Sprintf("sound-%d", w.sound), false, partFingerprints([]string{part}))
+			w.send(t, w.drawHost(t), fmt.Sprintf("sound-%d", w.sound), false, partFingerprints([]string{part}), 0)
 		}
 		if w.now.Sub(start)%guiltyGap != 0 {
 			continue
 		}
 		if w.guiltyPart {
-			w.send(t, w.drawHost(t), fmt.Sprintf("bad-%d", n), true, partFingerprints([]string{"bad"}))
+			w.send(t, w.drawHost(t), fmt.Sprintf("bad-%d", n), true, partFingerprints([]string{"bad"}), 0)
 		} else {
-			w.send(t, w.drawHost(t), "bad", true, partFingerprints([]string{"p0"}))
+			w.send(t, w.drawHost(t), "bad", true, partFingerprints([]string{"p0"}), 0)
 		}
 	}
 }
@@ -300,3 +351,19 @@
 		}
 	})
 }
+
+// Guards against a part of prompts that goes on to crash endpoints since sound requests, which their callers send again, are in the
+// same crashes, and against the refusal of these requests.
+func TestModelOfOneCrashingPartAmongReturningRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		w.guiltyPart, w.returning, w.limit = true, true, maxPartCrashes
+		w.play(t)
+		if w.late > maxLate {
+			t.Fatalf("it reached endpoints %d times after the bound; %d crashes", w.late, len(w.crashes))
+		}
+		if allowed := w.sound / 100; len(w.refused) > allowed {
+			t.Fatalf("%d of %d sound requests were refused, %d are allowed: %v; %d crashes", len(w.refused), w.sound, allowed, w.refused, len(w.crashes))
+		}
+	})
+}
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -98,6 +98,10 @@
 		s.check(line, s.hosts[host].Verdict(s.now, fp("new"), partFingerprints(args[1:])...), args[0])
 	case "rules":
 		s.check(line, s.hosts[host].Verdict(s.now, fp(args[1]), partFingerprints(args[2:])...), args[0])
+	case "waits":
+		if got := s.hosts[host].Verdict(s.now, fp(args[1]), partFingerprints(args[2:])...).Waits(); got != (args[0] == "yes") {
+			s.t.Errorf("%s: %t", line, got)
+		}
 	default:
 		s.t.Fatalf("unknown command: %s", line)
 	}
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -81,8 +81,10 @@
 	running   map[table.EndpointID]map[table.StreamID]Fingerprint
 	endpoints map[table.EndpointID]*crashHistory
 	parts     *partTable
-	// proven holds the requests that have enough marks to explain their crashes.
-	proven    map[Fingerprint]bool
+	// suspected holds the requests that have enough marks to be refused.
+	suspected map[Fingerprint]bool
+	// trials holds the runs of doubtful requests that have not run for some time yet.
+	trials    map[table.StreamID]bool
 	blame     blame
 	breaks    breaks
 	lastSweep time.Time
@@ -106,7 +108,8 @@
 		running:   map[table.EndpointID]map[table.StreamID]Fingerprint{},
 		endpoints: map[table.EndpointID]*crashHistory{},
 		parts:     newPartTable(cfg.Lifetime),
-		proven:    map[Fingerprint]bool{},
+		suspected: map[Fingerprint]bool{},
+		trials:    map[table.StreamID]bool{},
 		breaks:    newBreaks(),
 	}
 }
@@ -122,7 +125,7 @@
 		switch e := e.(type) {
 		case Started:
 			s.stop(e.stream)
-			s.begin(e)
+			s.begin(now, e)
 		case Stopped:
 			if r := s.streams[e.stream]; r != nil {
 				out = append(out, s.complete(now, r)...)
@@ -199,18 +202,17 @@
 	if g := s.refusing(now, parts); g != nil {
 		return Verdict{ruling: Refuse, until: g.until, crashes: g.crashes, recent: s.recent(now, g.until)}
 	}
+	v := Verdict{ruling: Clear, waits: len(s.trials) > 0 && s.isDoubtful(now, f, parts)}
 	r := s.requests[f]
 	if r == nil {
-		return Verdict{ruling: Clear}
+		return v
 	}
 	crashes := r.liveCrashes(now, s.cfg.Lifetime)
-	v := Verdict{crashes: crashes, explained: s.explained(now, crashes)}
+	v.crashes, v.explained = crashes, s.explained(now, crashes)
 	switch {
-	case now.Before(r.refusedUntil) && s.refuses(now, r):
+	case now.Before(r.refusedUntil) && s.blame.requests[f]:
 		v.ruling, v.until, v.recent = Refuse, r.refusedUntil, s.recent(now, r.refusedUntil)
-	case len(crashes) == 0 || r.onlyLate():
-		v.ruling = Clear
-	default:
+	case len(crashes) > 0 && !r.onlyLate():
 		v.ruling, v.avoid = Isolate, s.endpointsSharing(now, f, crashes)
 	}
 	return v
@@ -232,17 +234,6 @@
 	return out
 }
 
-// refuses reports whether a request has enough marks: three, or two early ones whose crashes nothing else explains.
-func (s *System) refuses(now time.Time, r *request) bool {
-	early := 0
-	for c, m := range r.marks {
-		if !m.late && !s.explains(now, c) {
-			early++
-		}
-	}
-	return early >= marksToRefuse || len(r.marks) >= anyMarksToRefuse
-}
-
 // endpointsSharing returns the endpoints that run another request with an unexpired mark from one of
 // the crashes, sorted.
 func (s *System) endpointsSharing(now time.Time, f Fingerprint, crashes []CrashID) []table.EndpointID {
@@ -261,12 +252,15 @@
 	return out
 }
 
-func (s *System) begin(e Started) {
+func (s *System) begin(now time.Time, e Started) {
 	r := &run{fingerprint: e.fingerprint, endpoints: e.endpoints, parts: e.parts}
 	if len(e.endpoints) > 0 {
 		r.instance = newCrashID(e.endpoints[0], e.incarnation)
 	}
 	s.streams[e.stream] = r
+	if s.isDoubtful(now, e.fingerprint, e.parts) {
+		s.trials[e.stream] = true
+	}
 	for _, id := range e.endpoints {
 		on := s.running[id]
 		if on == nil {
@@ -289,6 +283,7 @@
 		}
 	}
 	delete(s.streams, id)
+	delete(s.trials, id)
 }
 
 // completed clears the marks of a request from before it completed.
@@ -410,7 +405,7 @@
 		if !r.clear(at, s.cfg.Lifetime) {
 			return false
 		}
-		s.updateProven(m.cfg.Fingerprint, r)
+		s.updateSuspected(m.cfg.Fingerprint, r)
 		return true
 	}
 	if !at.After(r.clearedAt) {
@@ -428,17 +423,17 @@
 	r.marks[m.cfg.Crash] = merged
 	r.trimMarks()
 	r.updateRefusal(s.cfg.Lifetime)
-	s.updateProven(m.cfg.Fingerprint, r)
+	s.updateSuspected(m.cfg.Fingerprint, r)
 	return !exists || old.late != merged.late
 }
 
-// updateProven is called when the marks of a request have changed.
-func (s *System) updateProven(f Fingerprint, r *request) {
+// updateSuspected is called when the marks of a request have changed.
+func (s *System) updateSuspected(f Fingerprint, r *request) {
 	s.blame.stale = true
-	if len(r.marks) >= anyMarksToRefuse {
-		s.proven[f] = true
+	if r.refusedUntil.IsZero() {
+		delete(s.suspected, f)
 	} else {
-		delete(s.proven, f)
+		s.suspected[f] = true
 	}
 }
 
@@ -489,6 +484,6 @@
 
 func (s *System) remove(f Fingerprint) {
 	delete(s.requests, f)
-	delete(s.proven, f)
+	delete(s.suspected, f)
 	s.blame.stale = true
 }
--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -263,6 +263,10 @@
 		"explained": verdict.Explained(), fieldSends: r.sends,
 	}
 	if verdict.Ruling() != quarantine.Refuse {
+		if len(verdict.Crashes()) == r.loggedCrashes {
+			return false
+		}
+		r.loggedCrashes = len(verdict.Crashes())
 		r.log("marked request admitted", fields)
 		return false
 	}
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -259,6 +259,9 @@
 		r.refuse(refusal{cause: causeCrashes, retryAfter: r.afterCrashes})
 		return
 	}
+	if !r.awaitTurn(ctx) {
+		return
+	}
 	if r.models != nil {
 		r.serveStream(ctx)
 	} else {
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -84,6 +84,9 @@
 			cause = causeCrashes
 			break
 		}
+		if !r.awaitTurn(ctx) {
+			return
+		}
 		if result != balance.Unreached && !r.consumeRepeat(time.Now()) || ctx.Err() != nil || r.body.streamed {
 			break
 		}
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -46,6 +46,7 @@
 	causeTooLarge     = "body_too_large"
 	causeLeaving      = "host_leaving"
 	causeCrashes      = "crashes_endpoints"
+	causeSuspect      = "suspect"
 	causeBodyUnread   = "body_not_read"
 	causeNoEndpoint   = "no_endpoint"
 	causeRefused      = "endpoints_refused"
@@ -88,6 +89,8 @@
 	attempts    int
 	// afterCrashes is the Retry-After of a request that crashes endpoints.
 	afterCrashes time.Duration
+	// loggedCrashes is the number of crashes in the last line that says that the request is admitted in spite of its marks.
+	loggedCrashes int
 }
 
 // rejection is a response of this host's own to a call that it does not take up.
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -167,6 +167,9 @@
 	s.cancelPrevious()
 	if s.attempt != nil {
 		s.attempt.cancel()
+		if !s.headRelayed && !s.awaitTurn(ctx) {
+			return false
+		}
 	}
 	timeout := capacityTimeout
 	if s.head != nil {
