--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -314,6 +314,10 @@
 		// It had announced its end, which therefore is no crash.
 	case sent:
 		r.f.crashes.tick(time.Now(), quarantine.NewBroken(attempt))
+		if listed {
+			r.brokenAt = instanceOf(e)
+			r.f.verifyEndpoint(e)
+		}
 	case r.f.cfg.Endpoints.ConnectionRefused(err):
 		r.f.crashes.tick(time.Now(), quarantine.NewConnectionRefused(table.EndpointID(endpoint), uint64(e.StartedMs)))
 	}
--- a/internal/daemon/forward/crashes_test.go
+++ b/internal/daemon/forward/crashes_test.go
@@ -21,6 +21,8 @@
 
 func (refusingEndpoints) ConnectionRefused(error) bool { return true }
 
+func (refusingEndpoints) Connect(context.Context, deployment.Endpoint) error { return nil }
+
 func (refusingEndpoints) OnLeaving(func(deployment.Endpoint)) {}
 
 // Guards against blaming the prompts of streams that break off when an endpoint ends that had announced it.
@@ -104,3 +106,27 @@
 	r.identify()
 	is.True(r.crashesEndpoints())
 }
+
+// closedEndpoints break connections and refuse new ones.
+type closedEndpoints struct{ refusingEndpoints }
+
+func (closedEndpoints) Connect(context.Context, deployment.Endpoint) error {
+	return errors.New("refused")
+}
+
+// Guards against hosts that learn of the end of an endpoint only when the next call connects to it, seconds after its crash.
+func TestEndIsVerifiedAfterBrokenConnection(t *testing.T) {
+	is := is.New(t)
+	f := New(Config{Endpoints: closedEndpoints{}, Log: noLog{}, Metrics: NewMetrics()})
+	f.SetEndpoints([]deployment.Endpoint{{ID: "e", State: deployment.Ready, StartedMs: 1}})
+	r := &run{f: f, body: &requestBody{}, call: &Call{ID: "r"}}
+	r.identify()
+	r.recordBroken(context.Background(), r.recordStart("e"), "e", true, errors.New("reset"))
+	for range 200 {
+		if len(f.Marks()) > 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Fail() // no mark without another call
+}
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -40,6 +40,8 @@
 	hosts   int
 	byID    map[string]deployment.Endpoint
 	leaving map[string]leavingInstance
+	// verifying holds the instances of endpoints that are connected to because a connection to them broke.
+	verifying map[instance]bool
 	// closesAt is when a host that is leaving ends the calls in progress. refusing is set once it refuses all new ones.
 	closesAt time.Time
 	refusing bool
@@ -57,7 +59,7 @@
 // New returns a forwarder without a configuration. It refuses calls until SetTable.
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{
-		cfg: cfg, hosts: 1, loaded: make(chan struct{}), leaving: map[string]leavingInstance{},
+		cfg: cfg, hosts: 1, loaded: make(chan struct{}), leaving: map[string]leavingInstance{}, verifying: map[instance]bool{},
 		models: map[string]*path.System{}, plain: map[string]*balance.System{},
 		budgets: map[string]*retry.Budget{}, runs: map[string]*run{}, byID: map[string]deployment.Endpoint{}, crashes: newCrashTracker(cfg.Log),
 		limits: limit.New(limit.Config{Self: cfg.Host, Started: time.Now(), Seed: cfg.Seed}),
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -89,6 +89,8 @@
 	attempts    int
 	// afterCrashes is the Retry-After of a request that crashes endpoints.
 	afterCrashes time.Duration
+	// brokenAt is the endpoint to which the connection of the last attempt broke, if one did.
+	brokenAt instance
 	// loggedCrashes is the number of crashes in the last line that says that the request is admitted in spite of its marks.
 	loggedCrashes int
 }
--- a/internal/daemon/forward/suspects.go
+++ b/internal/daemon/forward/suspects.go
@@ -18,7 +18,8 @@
 	retryAfterSuspect = 1 * time.Second
 )
 
-// awaitTurn waits until no other suspect of the request's crashes runs on this host, so that the next crash tells which of them causes it. It reports whether the call goes on. Otherwise it ends the call, of which nothing runs.
+// awaitTurn waits until it is known whether the endpoint of the last attempt has ended, and until no other suspect of the request's
+// crashes runs on this host, so that the next crash tells which of them causes it. It reports whether the call goes on. Otherwise it ends the call, of which nothing runs.
 func (r *run) awaitTurn(ctx context.Context) bool {
 	// Callers wait for up to a third of their time before they come back, so that a caller who is sent away needs as much.
 	const timeoutDivisor = 3
@@ -26,7 +27,7 @@
 	end := now.Add(min(suspectTimeout, r.deadline.Sub(now)/timeoutDivisor))
 	for waited := false; ; waited = true {
 		r.f.mu.Lock()
-		waits := r.f.crashes.system.Verdict(time.Now(), r.fingerprint, r.parts...).Waits()
+		waits := r.f.verifying[r.brokenAt] || r.f.crashes.system.Verdict(time.Now(), r.fingerprint, r.parts...).Waits()
 		r.f.mu.Unlock()
 		if !waits {
 			return true
--- a/internal/daemon/forward/types.go
+++ b/internal/daemon/forward/types.go
@@ -93,6 +93,8 @@
 	MayHaveSent(err error) bool
 	// ConnectionRefused reports whether a request failed with the error because nothing listens at the endpoint's address.
 	ConnectionRefused(err error) bool
+	// Connect opens a connection to an endpoint and closes it. Pass its error to ConnectionRefused.
+	Connect(ctx context.Context, endpoint deployment.Endpoint) error
 	// OnLeaving sets the function that is called, possibly by several goroutines at once, with each endpoint that says in a
 	// response of any kind that it is about to stop. It is called before the first request.
 	OnLeaving(f func(endpoint deployment.Endpoint))
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -287,6 +287,18 @@
 	return c, nil
 }
 
+// Connect opens a connection to an address and closes it.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	nc, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.dials++
+	p.mu.Unlock()
+	return nc.Close()
+}
+
 // headReader reads from a connection and bounds the size of heads, which net/http keeps in memory whole.
 type headReader struct{ c *conn }
 
