--- a/internal/core/quarantine/blame.go
+++ b/internal/core/quarantine/blame.go
@@ -30,6 +30,7 @@
 	doubtful map[Fingerprint]bool
 	// explained holds the crashes that a refused request or part explains.
 	explained map[CrashID]bool
+	findings  []Finding
 	stale     bool
 }
 
@@ -90,6 +91,7 @@
 	if !s.blame.stale && !s.parts.changed {
 		return
 	}
+	s.blameRevision++
 	s.blame = blame{requests: map[Fingerprint]bool{}, doubtful: map[Fingerprint]bool{}, explained: map[CrashID]bool{}}
 	s.parts.changed = false
 	suspects := append(s.suspectRequests(now), s.suspectParts(now)...)
@@ -200,6 +202,7 @@
 		return slices.ContainsFunc(t.requests, func(r suspect) bool { return slices.Contains(r.request.parts, p.fingerprint) })
 	})
 	early := t.earliest()
+	outcome := Refused
 	switch {
 	case len(t.requests) == 1 && t.refusesRequest():
 		s.refuseRequests(t, t.requests)
@@ -209,10 +212,23 @@
 	case len(t.requests) > 1 && len(t.parts) == 0 && len(t.crashes) >= marksToRefuseTied:
 		s.refuseRequests(t, t.requests)
 	default:
+		outcome = Undecided
 		for _, x := range append(t.requests, t.parts...) {
 			s.blame.doubtful[x.fingerprint] = true
 		}
 	}
+	s.blame.findings = append(s.blame.findings, Finding{
+		outcome: outcome, crashes: t.crashes, requests: fingerprintsOf(t.requests), parts: fingerprintsOf(t.parts),
+	})
+}
+
+func fingerprintsOf(suspects []suspect) []Fingerprint {
+	var out []Fingerprint
+	for _, x := range suspects {
+		out = append(out, x.fingerprint)
+	}
+	slices.SortFunc(out, compareFingerprints)
+	return out
 }
 
 // refusesRequest reports whether a request that was alone in all of the crashes has enough of them: three, or two in which it had
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -84,10 +84,12 @@
 	// suspected holds the requests that have enough marks to be refused.
 	suspected map[Fingerprint]bool
 	// trials holds the runs of doubtful requests that have not run for some time yet.
-	trials    map[table.StreamID]bool
-	blame     blame
-	breaks    breaks
-	lastSweep time.Time
+	trials map[table.StreamID]bool
+	blame  blame
+	// blameRevision counts the updates of blame.
+	blameRevision int
+	breaks        breaks
+	lastSweep     time.Time
 }
 
 // New returns a system without marks.
--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -99,10 +100,13 @@
 	system *quarantine.System
 	failed []failedAttempt
 	marks  map[markKey]reportedMark
+	// logged holds the findings that were logged, as of the revision.
+	logged   map[string]bool
+	revision int
 }
 
 func newCrashTracker(log Logger) *crashTracker {
-	return &crashTracker{log: log, system: quarantine.New(quarantine.Config{PassOn: true}), marks: map[markKey]reportedMark{}}
+	return &crashTracker{log: log, system: quarantine.New(quarantine.Config{PassOn: true}), marks: map[markKey]reportedMark{}, logged: map[string]bool{}}
 }
 
 func (c *crashTracker) tick(now time.Time, events ...quarantine.Event) {
@@ -122,8 +126,33 @@
 			})
 		}
 	}
+	c.logFindings(now)
 }
 
+// logFindings logs what explains crashes, where that has changed.
+func (c *crashTracker) logFindings(now time.Time) {
+	findings, revision := c.system.Findings(now)
+	if revision == c.revision {
+		return
+	}
+	logged := map[string]bool{}
+	for _, f := range findings {
+		fields := map[string]any{
+			"outcome": string(f.Outcome()), "crashes": f.Crashes(), "requests": len(f.Requests()), fieldParts: len(f.Parts()),
+			"contents": limited(shortFingerprints(f.Requests())), "part_fingerprints": limited(shortFingerprints(f.Parts())),
+		}
+		key := fmt.Sprint(f.Outcome(), f.Crashes(), len(f.Requests()), len(f.Parts()))
+		logged[key] = true
+		if !c.logged[key] {
+			c.log.Decision("", "crashes weighed", fields)
+		}
+	}
+	c.logged, c.revision = logged, revision
+}
+
+// limited returns the first values, as many as a log line names.
+func limited(values []string) []string { return values[:min(len(values), maxLoggedMarks)] }
+
 // report adds marks to those that are reported to peers.
 func (c *crashTracker) report(now time.Time, marks []quarantine.Mark) {
 	for _, m := range marks {
@@ -164,8 +193,7 @@
 			decision = "requests cleared"
 		}
 		c.log.Decision("", decision, map[string]any{
-			"crash": string(crash), "early": len(early), "late": len(late), "contents": early[:min(len(early), maxLoggedMarks)],
-			"late_contents": late[:min(len(late), maxLoggedMarks)],
+			"crash": string(crash), "early": len(early), "late": len(late), "contents": limited(early), "late_contents": limited(late),
 		})
 	}
 }
--- a/internal/daemon/forward/suspects.go
+++ b/internal/daemon/forward/suspects.go
@@ -19,20 +19,24 @@
 )
 
 // awaitTurn waits until it is known whether the endpoint of the last attempt has ended, and until no other suspect of the request's
-// crashes runs on this host, so that the next crash tells which of them causes it. It reports whether the call goes on. Otherwise it ends the call, of which nothing runs.
+// crashes runs on this host, so that the next crash tells which of them causes it. It reports whether the call goes on. Otherwise it
+// ends the call, of which nothing runs.
 func (r *run) awaitTurn(ctx context.Context) bool {
 	// Callers wait for up to a third of their time before they come back, so that a caller who is sent away needs as much.
 	const timeoutDivisor = 3
 	now := time.Now()
 	end := now.Add(min(suspectTimeout, r.deadline.Sub(now)/timeoutDivisor))
-	for waited := false; ; waited = true {
+	logged := false
+	for {
 		r.f.mu.Lock()
-		waits := r.f.verifying[r.brokenAt] || r.f.crashes.system.Verdict(time.Now(), r.fingerprint, r.parts...).Waits()
+		verifying := r.f.verifying[r.brokenAt]
+		waits := r.f.crashes.system.Verdict(time.Now(), r.fingerprint, r.parts...).Waits()
 		r.f.mu.Unlock()
-		if !waits {
+		if !waits && !verifying {
 			return true
 		}
-		if !waited {
+		if waits && !logged {
+			logged = true
 			r.log("suspect waits", map[string]any{fieldContent: shortFingerprint(r.fingerprint), fieldParts: shortFingerprints(r.parts)})
 		}
 		if !time.Now().Before(end) {
