Leave an endpoint that is known to have ended out of paths at once

Cause: nothing told core/path and core/balance that an endpoint has ended. The quarantine's decision EndpointEnded was only logged. A refused connection made its worker a suspect, and Choose uses suspects if no other worker holds their layers, since a suspicion may be wrong; streamRun.place also drops the call's own list of workers to avoid after half of its 60 ms. So each stream tried the ended worker up to four times, each refusal renewed the suspicion only after it had expired, and the fourth unsent attempt ended the call with 503 answer_lost (TestEndedEndpointIsLeftOut on the code before: 4 sends per stream, 1 per plain call, to an endpoint whose end was known).

Change: core/ended holds what is known of the end of one instance. Both systems leave such an instance out until its entry leaves the list, another instance is listed or 4 s have passed. If nothing else holds the layers while it is listed, one request at a time tries it, a second after the evidence or the last trial. Evidence is a broken connection with a refused one, a peer's mark of a crash that is younger than 4 s (once for each instance, since marks are repeated), or two refused connections in a row, 25 ms to 2 s apart, for hosts that had no connection to it. One refused connection is no evidence. A response to a request sent after the evidence, or an event 200 ms after it, shows that the endpoint lives.

Measured: the same test sends nothing to the ended endpoint after the evidence, for both kinds of services, with the host's own evidence and with a peer's.

--- a/internal/core/balance/system.go
+++ b/internal/core/balance/system.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"waxwingplank/internal/core/deployment"
+	"waxwingplank/internal/core/ended"
 	"waxwingplank/internal/core/limit"
 )
 
@@ -47,6 +48,8 @@
 	suspectUntil time.Time
 	// pausedUntil is the end of the time for which the endpoint wants no requests.
 	pausedUntil time.Time
+	// end is what is known of the end of the endpoint's instance.
+	end ended.State
 }
 
 // Config describes a System.
@@ -87,8 +90,23 @@
 }
 
 // Pick returns the endpoint for a request and counts the request there. Endpoints in tried are skipped. Endpoints
-// that were unreachable recently are used only if there is no other.
+// that were unreachable recently are used only if there is no other, and those that seem to have ended only for trials.
 func (s *System) Pick(now time.Time, domain string, tried map[string]bool) (deployment.Endpoint, bool) {
+	best := s.lowestCost(now, domain, tried, false)
+	if best == nil {
+		best = s.lowestCost(now, domain, tried, true)
+	}
+	if best == nil {
+		return deployment.Endpoint{}, false
+	}
+	s.limits.Take(now, best.entry.ID)
+	best.end.BeginTrial(now, trialName)
+	best.running++
+	return best.entry, true
+}
+
+// lowestCost returns the endpoint with the lowest cost, or nil. With trial, it is one that seems to have ended and may be tried.
+func (s *System) lowestCost(now time.Time, domain string, tried map[string]bool, trial bool) *endpoint {
 	var best *endpoint
 	bestCost := 0.0
 	for _, id := range s.order {
@@ -96,17 +114,15 @@
 		if tried[id] || e.entry.State != deployment.Ready || now.Before(e.pausedUntil) || !s.limits.Allows(now, id) {
 			continue
 		}
+		if e.end.Excluded(now) != trial || (trial && !e.end.MayTry(now)) {
+			continue
+		}
 		cost := s.cost(now, e, domain)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
-	if best == nil {
-		return deployment.Endpoint{}, false
-	}
-	s.limits.Take(now, best.entry.ID)
-	best.running++
-	return best.entry, true
+	return best
 }
 
 func (s *System) cost(now time.Time, e *endpoint, domain string) float64 {
@@ -136,6 +152,7 @@
 		return
 	}
 	e.running = max(e.running-1, 0)
+	e.end.EndTrial(trialName)
 	failure := 0.0
 	switch result {
 	case Abandoned, Paused:
@@ -165,7 +182,7 @@
 func (s *System) LimitEnd(now time.Time) time.Time {
 	var end time.Time
 	for id, e := range s.endpoints {
-		if e.entry.State != deployment.Ready || now.Before(e.pausedUntil) || s.limits.Allows(now, id) {
+		if e.entry.State != deployment.Ready || e.end.Excluded(now) || now.Before(e.pausedUntil) || s.limits.Allows(now, id) {
 			continue
 		}
 		if next := s.limits.Next(now, id); end.IsZero() || next.Before(end) {
@@ -179,7 +196,7 @@
 func (s *System) PauseEnd(now time.Time) time.Time {
 	var end time.Time
 	for _, e := range s.endpoints {
-		if e.entry.State != deployment.Ready {
+		if e.entry.State != deployment.Ready || e.end.Excluded(now) {
 			continue
 		}
 		if !now.Before(e.pausedUntil) {
--- a/internal/core/path/choose.go
+++ b/internal/core/path/choose.go
@@ -43,6 +43,11 @@
 		d.allowSuspected = true
 		p, refusal = s.lowestCostPath(now, d, span)
 	}
+	if refusal == Uncovered && s.mayTryEnded(now) {
+		// The evidence of an end may be wrong, too.
+		d.allowEnded = true
+		p, refusal = s.lowestCostPath(now, d, span)
+	}
 	if refusal == Uncovered && !s.PauseEnd(now).IsZero() {
 		d.allowPaused = true
 		if _, without := s.lowestCostPath(now, d, span); without != Uncovered {
@@ -66,7 +71,7 @@
 func (s *System) LimitEnd(now time.Time) time.Time {
 	var end time.Time
 	for id, w := range s.workers {
-		if !w.usable(now) || w.holds.From != 0 || s.limits.Allows(now, id) {
+		if !w.usable(now) || w.end.Excluded(now) || w.holds.From != 0 || s.limits.Allows(now, id) {
 			continue
 		}
 		if next := s.limits.Next(now, id); end.IsZero() || next.Before(end) {
@@ -176,7 +181,7 @@
 func (s *System) candidates(now time.Time, d Demand) (out []candidate, full bool) {
 	for _, id := range s.order {
 		w := s.workers[id]
-		if d.Avoid[id] || !w.serving() || (!d.allowPaused && w.paused(now)) || (!d.allowSuspected && !w.usable(now)) {
+		if d.Avoid[id] || !w.serving() || !w.admitsAfterEnd(now, d) || (!d.allowPaused && w.paused(now)) || (!d.allowSuspected && !w.usable(now)) {
 			continue
 		}
 		if w.exceedsMemory(d, s.peers) {
--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"waxwingplank/internal/core/deployment"
+	"waxwingplank/internal/core/ended"
 )
 
 // Part is the range of layers that one worker runs.
@@ -54,6 +55,8 @@
 	allowSuspected bool
 	// allowPaused allows workers on the path that want no requests now.
 	allowPaused bool
+	// allowEnded allows a trial of workers on the path that seem to have ended.
+	allowEnded bool
 }
 
 func (d Demand) tokens() float64 { return float64(d.PromptTokens + d.AnswerTokens) }
@@ -123,6 +126,8 @@
 	// found normal speed.
 	checkedAt    time.Time
 	normalChecks int
+	// end is what is known of the end of the worker's instance.
+	end ended.State
 	// trial is the stream that uses the worker first after a suspicion or refusal. Other streams avoid the worker
 	// until the outcome is clear.
 	trial string
--- a/internal/core/path/stall.go
+++ b/internal/core/path/stall.go
@@ -90,6 +90,7 @@
 	first := st.events == 1
 	for _, part := range st.path {
 		if w := s.workers[part.Worker]; w != nil {
+			w.end.RecordEvent(now)
 			if first && !st.begun.Before(w.refusedUntil) {
 				w.refusals = 0
 			}
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -100,6 +100,7 @@
 	s.release(id)
 	s.streams[id] = &stream{path: p, demand: d, begun: now, last: now}
 	s.charge(id, p, d, 1)
+	s.beginTrials(now, id, p)
 	s.recordPromptReads(now, nil, p, d)
 	s.recordTransfers(now, nil, p, d)
 }
@@ -152,6 +153,7 @@
 
 func (s *System) release(id string) {
 	if st := s.streams[id]; st != nil {
+		s.endTrials(id, st.path)
 		s.charge(id, st.path, st.demand, -1)
 		delete(s.streams, id)
 	}
--- a/internal/core/quarantine/ended.go
+++ b/internal/core/quarantine/ended.go
@@ -74,7 +74,7 @@
 // there, or the mark of a peer.
 func (s *System) refused(now time.Time, instance CrashID) []Decision {
 	s.breaks.refusedAt[instance] = now
-	endpoint := instance.endpoint()
+	endpoint := instance.Endpoint()
 	for id := range s.running[endpoint] {
 		r := s.streams[id]
 		if r.instance == instance && !r.brokenAt.IsZero() && now.Sub(r.brokenAt) <= evidenceTime {
--- a/internal/core/quarantine/request.go
+++ b/internal/core/quarantine/request.go
@@ -8,8 +8,8 @@
 	"waxwingplank/internal/core/table"
 )
 
-// endpoint returns the endpoint that crashed.
-func (c CrashID) endpoint() table.EndpointID {
+// Endpoint returns the endpoint that crashed.
+func (c CrashID) Endpoint() table.EndpointID {
 	return table.EndpointID(c[:max(0, strings.LastIndexByte(string(c), '@'))])
 }
 
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -136,13 +136,13 @@
 		case EndedWithConnection:
 			out = append(out, s.endedWithConnection(now, e)...)
 		case EndpointCrashed:
-			out = append(out, s.ended(now, e.endpoint, newCrashID(e.endpoint, e.incarnation))...)
+			out = append(out, s.ended(now, e.endpoint, NewCrashID(e.endpoint, e.incarnation))...)
 		case Ran:
 			out = append(out, s.ran(now, e)...)
 		case Broken:
 			out = append(out, s.broken(now, e)...)
 		case ConnectionRefused:
-			out = append(out, s.refused(now, newCrashID(e.endpoint, e.incarnation))...)
+			out = append(out, s.refused(now, NewCrashID(e.endpoint, e.incarnation))...)
 		case PeerMarks:
 			out = append(out, s.mergePeerMarks(now, e.marks)...)
 		}
@@ -255,7 +255,7 @@
 func (s *System) begin(now time.Time, e Started) {
 	r := &run{fingerprint: e.fingerprint, endpoints: e.endpoints, parts: e.parts}
 	if len(e.endpoints) > 0 {
-		r.instance = newCrashID(e.endpoints[0], e.incarnation)
+		r.instance = NewCrashID(e.endpoints[0], e.incarnation)
 	}
 	s.streams[e.stream] = r
 	if s.isDoubtful(now, e.fingerprint, e.parts) {
@@ -297,7 +297,8 @@
 	return sendMarks([]Mark{m})
 }
 
-func newCrashID(id table.EndpointID, incarnation uint64) CrashID {
+// NewCrashID returns the identity of the crash of an instance of an endpoint.
+func NewCrashID(id table.EndpointID, incarnation uint64) CrashID {
 	return CrashID(fmt.Sprintf("%s@%d", id, incarnation))
 }
 
@@ -373,7 +374,7 @@
 			continue
 		}
 		for _, c := range r.liveCrashes(now, s.cfg.Lifetime) {
-			if c.endpoint() != id {
+			if c.Endpoint() != id {
 				return true
 			}
 		}
--- a/internal/daemon/forward/crashes.go
+++ b/internal/daemon/forward/crashes.go
@@ -97,12 +97,14 @@
 type crashTracker struct {
 	log    Logger
 	system *quarantine.System
-	failed []failedAttempt
-	marks  map[markKey]reportedMark
+	// onEnded is called with each instance of an endpoint that is found to have ended.
+	onEnded func(now time.Time, instance quarantine.CrashID)
+	failed  []failedAttempt
+	marks   map[markKey]reportedMark
 }
 
-func newCrashTracker(log Logger) *crashTracker {
-	return &crashTracker{log: log, system: quarantine.New(quarantine.Config{PassOn: true}), marks: map[markKey]reportedMark{}}
+func newCrashTracker(log Logger, onEnded func(time.Time, quarantine.CrashID)) *crashTracker {
+	return &crashTracker{log: log, onEnded: onEnded, system: quarantine.New(quarantine.Config{PassOn: true}), marks: map[markKey]reportedMark{}}
 }
 
 func (c *crashTracker) tick(now time.Time, events ...quarantine.Event) {
@@ -120,6 +122,7 @@
 			c.log.Decision("", "endpoint crashed", map[string]any{
 				fieldEndpoint: string(d.Endpoint()), "instance": string(d.Instance()), "failed_attempts": len(c.failed),
 			})
+			c.onEnded(now, d.Instance())
 		}
 	}
 }
@@ -213,7 +216,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.crashes.tick(time.Now(), quarantine.NewPeerMarks(decodeMarks(marks)))
+	now, decoded := time.Now(), decodeMarks(marks)
+	f.recordEndReports(now, decoded)
+	f.crashes.tick(now, quarantine.NewPeerMarks(decoded))
 }
 
 // RepeatRefusals reports the marks of refused requests and parts of prompts once more, because a peer has started that knows none.
@@ -319,7 +324,9 @@
 			r.f.verifyEndpoint(e)
 		}
 	case r.f.cfg.Endpoints.ConnectionRefused(err):
-		r.f.crashes.tick(time.Now(), quarantine.NewConnectionRefused(table.EndpointID(endpoint), uint64(e.StartedMs)))
+		now := time.Now()
+		r.f.recordRefusedConnection(now, e)
+		r.f.crashes.tick(now, quarantine.NewConnectionRefused(table.EndpointID(endpoint), uint64(e.StartedMs)))
 	}
 }
 
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -61,9 +61,10 @@
 	f := &Forwarder{
 		cfg: cfg, hosts: 1, loaded: make(chan struct{}), leaving: map[string]leavingInstance{}, verifying: map[instance]bool{},
 		models: map[string]*path.System{}, plain: map[string]*balance.System{},
-		budgets: map[string]*retry.Budget{}, runs: map[string]*run{}, byID: map[string]deployment.Endpoint{}, crashes: newCrashTracker(cfg.Log),
+		budgets: map[string]*retry.Budget{}, runs: map[string]*run{}, byID: map[string]deployment.Endpoint{},
 		limits: limit.New(limit.Config{Self: cfg.Host, Started: time.Now(), Seed: cfg.Seed}),
 	}
+	f.crashes = newCrashTracker(cfg.Log, f.recordEnded)
 	cfg.Endpoints.OnLeaving(f.recordLeaving)
 	return f
 }
--- a/internal/daemon/forward/limit.go
+++ b/internal/daemon/forward/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand"
-	"net/http"
 	"time"
 
 	"waxwingplank/internal/core/deployment"
@@ -18,8 +17,7 @@
 		r.log("limit ignored", map[string]any{fieldEndpoint: e.ID, "text": reply.InvalidLimit})
 		return
 	}
-	genuine := (reply.Verified || reply.NotRun) && reply.Status != http.StatusMisdirectedRequest
-	if !reply.Limited && !genuine {
+	if !reply.Limited && !reply.isGenuine() {
 		// Only a response of the endpoint itself can show that its limit has ended.
 		return
 	}
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -176,6 +176,7 @@
 		return nil, attributeResult(callCtx, balance.Failed), err
 	}
 	r.recordLimit(reply, e, sentAt)
+	r.recordLife(reply, e, sentAt)
 	r.sends++
 	if !reply.NotRun {
 		r.runs++
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -326,6 +326,7 @@
 		return
 	}
 	s.recordLimit(reply, send.Endpoint, sentAt)
+	s.recordLife(reply, send.Endpoint, sentAt)
 	// Who receives a failure reads its body and closes it.
 	failure := !reply.NotRun && !reply.isStream()
 	delivered := put(attemptResult{reply: reply})
--- a/internal/daemon/forward/types.go
+++ b/internal/daemon/forward/types.go
@@ -84,6 +84,11 @@
 // isStream reports whether the reply is a genuine stream.
 func (r *Reply) isStream() bool { return r.Status == http.StatusOK && !r.NotRun && r.Verified }
 
+// isGenuine reports whether the reply is certainly of the instance to which the request was sent.
+func (r *Reply) isGenuine() bool {
+	return (r.Verified || r.NotRun) && r.Status != http.StatusMisdirectedRequest
+}
+
 // Endpoints sends requests to endpoints.
 type Endpoints interface {
 	// Send sends a request once. Pass its error to MayHaveSent to find out whether the request may have reached
--- a/internal/daemon/forward/verify.go
+++ b/internal/daemon/forward/verify.go
@@ -36,7 +36,9 @@
 		defer f.mu.Unlock()
 		delete(f.verifying, key)
 		if err != nil && f.cfg.Endpoints.ConnectionRefused(err) {
-			f.crashes.tick(time.Now(), quarantine.NewConnectionRefused(table.EndpointID(e.ID), uint64(e.StartedMs)))
+			now := time.Now()
+			f.recordEnded(now, quarantine.NewCrashID(table.EndpointID(e.ID), uint64(e.StartedMs)))
+			f.crashes.tick(now, quarantine.NewConnectionRefused(table.EndpointID(e.ID), uint64(e.StartedMs)))
 		}
 	}()
 }
