Give requests a class, and send it to workers where classes differ

Priorities of routes and workspaces were read, but nothing used them. A request now has a class, the priority of its workspace or else of its route, clamped to 0 to 9. It is part of the demand on which paths are chosen, and is sent to the worker if the configuration has more than one class among the routes to the service and the workspaces. It is read again from the configuration in force whenever a path is looked for. There, missing token counts become the means of the service.

With one class, requests to workers and choices are as before: the header of a caller is passed on unchanged. go test ./internal/core/deployment ./internal/core/path ./internal/daemon/forward ./platform passes.

--- a/internal/core/deployment/config.go
+++ b/internal/core/deployment/config.go
@@ -149,6 +149,7 @@
 	services    map[string]*Service
 	workspaces  map[string]*Workspace
 	requiresKey bool
+	classified  map[string]bool
 }
 
 // NewTable indexes a configuration.
@@ -160,6 +161,7 @@
 		services:    map[string]*Service{},
 		workspaces:  map[string]*Workspace{},
 		requiresKey: len(cfg.Workspaces) > 0,
+		classified:  classified(cfg),
 	}
 	for i := range cfg.Routes {
 		host := strings.ToLower(cfg.Routes[i].Host)
--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -48,6 +48,9 @@
 	// PromptTokens and AnswerTokens are the numbers of prompt tokens and of tokens to be generated.
 	PromptTokens int
 	AnswerTokens int
+	// Class is the class of the request, and Begun is set if its response has begun.
+	Class deployment.Class
+	Begun bool
 	// Avoid holds the ids of workers that must not be on the path.
 	Avoid map[string]bool
 	// allowSuspected allows suspected workers on the path.
@@ -56,6 +59,20 @@
 	allowPaused bool
 }
 
+// WithUsualTokens returns a demand in which missing token counts are replaced by the means of the service.
+func (s *System) WithUsualTokens(d Demand) Demand {
+	if s.engine == nil {
+		return d
+	}
+	if d.PromptTokens <= 0 {
+		d.PromptTokens = max(s.engine.TypicalPromptTokens, 0)
+	}
+	if d.AnswerTokens <= 0 {
+		d.AnswerTokens = max(s.engine.TypicalResponseTokens, 0)
+	}
+	return d
+}
+
 func (d Demand) tokens() float64 { return float64(d.PromptTokens + d.AnswerTokens) }
 
 // Refusal is the reason why no path was found.
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -307,6 +307,7 @@
 	r.route = route
 	r.service = route.Service(hashFraction(call.ID))
 	r.models, r.balance, r.budget = f.models[r.service], f.plain[r.service], f.budgets[r.service]
+	f.classify(r)
 	if r.budget == nil {
 		return &rejection{http.StatusServiceUnavailable, causeNoService, retryAfterStarting}
 	}
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -72,11 +72,15 @@
 	version   int64
 	service   string
 	workspace string
-	models    *path.System
-	balance   *balance.System
-	budget    *retry.Budget
-	deadline  time.Time
-	stalled   chan path.Stalled
+	// class is the call's class, classified whether the configuration has more than one for the service. Another configuration may
+	// change both while the call waits.
+	class      deployment.Class
+	classified bool
+	models     *path.System
+	balance    *balance.System
+	budget     *retry.Budget
+	deadline   time.Time
+	stalled    chan path.Stalled
 	// sends counts all sends; runs counts those after which the request may have run.
 	sends int
 	runs  int
@@ -148,6 +152,11 @@
 		r.sentTo = map[string]bool{}
 	}
 	r.sentTo[e.ID] = true
+	if r.classified {
+		// The class may change while the request is being sent.
+		class := r.class
+		s.Class = &class
+	}
 	switch {
 	case r.body.streamed:
 		s.Body = r.body
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -260,7 +260,9 @@
 	return p, d, refusal
 }
 
+// demand returns what the call needs now. The caller holds the forwarder's lock.
 func (s *streamRun) demand() path.Demand {
+	s.f.classify(s.run)
 	answer := s.call.AnswerTokens
 	if answer <= 0 {
 		answer = s.call.MaxAnswerTokens
@@ -268,7 +270,14 @@
 	if s.call.MaxAnswerTokens > 0 {
 		answer = min(answer, s.call.MaxAnswerTokens)
 	}
-	return path.Demand{Domain: s.f.cfg.Domain, PromptTokens: s.call.PromptTokens, AnswerTokens: answer, Avoid: s.avoid}
+	d := path.Demand{
+		Domain: s.f.cfg.Domain, PromptTokens: s.call.PromptTokens, AnswerTokens: answer, Avoid: s.avoid,
+		Class: s.class, Begun: s.head != nil,
+	}
+	if s.classified {
+		d = s.models.WithUsualTokens(d)
+	}
+	return d
 }
 
 // launch sends the call on a path. Results arrive in s.results until the attempt is cancelled.
--- a/internal/daemon/forward/types.go
+++ b/internal/daemon/forward/types.go
@@ -45,6 +45,8 @@
 	Call      *Call
 	Endpoint  deployment.Endpoint
 	Workspace string
+	// Class is the class of the call if the configuration has more than one for the service, or else nil.
+	Class *deployment.Class
 	// Path is empty for plain services.
 	Path path.Path
 	// TimeLeft is the time that remains for the endpoint.
