Keep memory of workers free for more urgent classes

A request may now fill a worker only up to 95% of its memory less a reserve. The reserve is a third of the memory times the part of the work recently asked for on this host that came from more urgent classes, from 60% to 80% use of the memory of the tightest layer. It shrinks while the class is served less than 0.6 of the share of all classes down to it and is gone below 0.3. Small requests also leave room for a large one of their class while large ones are served less than half of its share. Responses that have begun leave nothing. Requests that fit on no worker do not count as demand.

On calm load and with one class for all, the choices are the same as without classes. Links between domains are not reserved.

--- a/internal/core/path/choose.go
+++ b/internal/core/path/choose.go
@@ -174,12 +174,13 @@
 // candidates returns the workers that may be on the path, and whether any was skipped because it has too little
 // free memory.
 func (s *System) candidates(now time.Time, d Demand) (out []candidate, full bool) {
+	reserved := s.reserve(now, d)
 	for _, id := range s.order {
 		w := s.workers[id]
 		if d.Avoid[id] || !w.serving() || (!d.allowPaused && w.paused(now)) || (!d.allowSuspected && !w.usable(now)) {
 			continue
 		}
-		if w.exceedsMemory(d, s.peers) {
+		if w.exceedsMemory(d, s.peers, reserved) {
 			full = true
 			continue
 		}
--- a/internal/core/path/path.go
+++ b/internal/core/path/path.go
@@ -158,10 +158,10 @@
 	return w.endpoint.State == deployment.Ready && w.holds.Len() > 0
 }
 
-// exceedsMemory reports whether a demand needs more memory than the worker has free.
-func (w *worker) exceedsMemory(d Demand, peers int) bool {
+// exceedsMemory reports whether a demand needs more memory than the worker has free beside what is reserved.
+func (w *worker) exceedsMemory(d Demand, peers int, r reserve) bool {
 	used, _ := w.load(peers)
-	return used+d.tokens()*float64(w.holds.Len()) > w.capacity*maxMemoryShare
+	return used+d.tokens()*float64(w.holds.Len()) > w.capacity*(maxMemoryShare-r.of(w))
 }
 
 // remainingBacklog returns the worker's backlog at a time, in ms.
--- a/internal/core/path/recovery.go
+++ b/internal/core/path/recovery.go
@@ -46,6 +46,8 @@
 	if st == nil {
 		return nil
 	}
+	// The caller waits for a response that has begun, or is about to.
+	d.Begun = true
 	detour := s.detour(now, id, suspects)
 	var p Path
 	if mayRestart {
@@ -108,7 +110,7 @@
 		return nil
 	}
 	d := st.demand
-	d.Avoid = map[string]bool{}
+	d.Avoid, d.Begun = map[string]bool{}, true
 	for w := range suspects {
 		d.Avoid[w] = true
 	}
--- a/internal/core/path/stall.go
+++ b/internal/core/path/stall.go
@@ -169,18 +169,22 @@
 	Peers int      `json:"peers"`
 	// Links holds the use of the links between domains, as a share.
 	Links map[string]float64 `json:"links,omitempty"`
+	// Reserved is the share of the memory of workers that is kept free for more urgent classes.
+	Reserved float64 `json:"reserved,omitempty"`
 }
 
 // CapacityReport returns the reasons why workers cannot serve a demand.
 func (s *System) CapacityReport(now time.Time, d Demand) CapacityReport {
 	const hundredths = 100
 	out := CapacityReport{Workers: len(s.order), Suspected: s.Suspected(now), Peers: s.peers, Links: map[string]float64{}}
+	reserved := s.reserve(now, d)
+	out.Reserved = math.Round(reserved.share*hundredths) / hundredths
 	for _, id := range s.order {
 		w := s.workers[id]
 		if now.Before(w.refusedUntil) || now.Before(w.peerRefusedUntil) {
 			out.Refusing = append(out.Refusing, id)
 		}
-		if w.exceedsMemory(d, s.peers) {
+		if w.exceedsMemory(d, s.peers, reserved) {
 			out.Full = append(out.Full, id)
 		}
 	}
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -27,6 +27,8 @@
 	streams map[string]*stream
 	random  *rand.Rand
 	limits  *limit.System
+	// work holds the recent work of each class.
+	work [deployment.LowestClass + 1]work
 	// peers is the number of other hosts that are assumed to add load like this one, peerCount that of all others.
 	peers     int
 	peerCount int
@@ -97,6 +99,9 @@
 
 // Begin records that a stream was sent on a path. An earlier path of the stream is released.
 func (s *System) Begin(now time.Time, id string, p Path, d Demand) {
+	if s.streams[id] == nil {
+		s.recordGrant(now, d)
+	}
 	s.release(id)
 	s.streams[id] = &stream{path: p, demand: d, begun: now, last: now}
 	s.charge(id, p, d, 1)
--- a/internal/daemon/forward/class.go
+++ b/internal/daemon/forward/class.go
@@ -1,5 +1,7 @@
 package forward
 
+import "time"
+
 // classify sets the class of a call from the configuration in force. If that has no such route, the call keeps its class. The caller
 // holds the forwarder's lock.
 func (f *Forwarder) classify(r *run) {
@@ -9,3 +11,14 @@
 	}
 	r.class, r.classified = f.table.Class(route, f.table.Workspace(r.call.Key)), f.table.HasClasses(r.service)
 }
+
+// recordRequest records what a new call asks for, once.
+func (s *streamRun) recordRequest() {
+	if s.recorded {
+		return
+	}
+	s.recorded = true
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	s.models.RecordRequest(time.Now(), s.demand())
+}
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -81,6 +81,8 @@
 	attempt  *attempt
 	previous *attempt
 	launched int
+	// recorded is set once the path models know of the call's demand.
+	recorded bool
 	// head is the head of the response, once there is one. It is relayed with the first event, so that a stream that breaks
 	// off before can still be answered otherwise. headRelayed is set from then on. lastNumber is the ID of the last relayed event.
 	// numbered is unset once an event had no numeric ID.
@@ -171,6 +173,7 @@
 			return false
 		}
 	}
+	s.recordRequest()
 	timeout := capacityTimeout
 	if s.head != nil {
 		timeout = resumeTimeout - time.Since(s.lastProgress)
