Estimate when there is capacity again, and plan the returns of refused callers

Cause: refused callers are told fixed times, 0.7 to 1.4 s for full workers and 1.5 to 3 s for missing layers, whatever is known of when there is capacity and however many callers were sent away. They return too early and together.

Change: path.System.Reopen and balance.System.Reopen estimate when a refused request finds capacity. For missing layers: the longest of the last three times without cover, or else the end of the workers, the lapse of their entries (3.6 s) and load_time_s x share of the layers; once that has passed, half of the time without cover more. For full workers: when enough of the streams on the workers that bind have ended to fit the demand, by the mean duration of streams. Both name the rate at which requests of this host find places from then on. core/returns plans from that when a caller returns: not before the estimate and the minimum, behind the callers that are due, more urgent ones in the earlier half, at most a third of what remains without the time for the answer, and at most 6 s. A caller that is refused again waits 1.5 times as long, within that bound. One that can't return in time gets the estimate and takes no place.

Nothing uses it yet.

--- a/internal/core/ended/state.go
+++ b/internal/core/ended/state.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// exclusionPeriod is how long an endpoint that is known to have ended gets no requests. Its entry leaves the list within three
-	// heartbeats, about 3.6 s; an endpoint that is still listed after that may be alive.
+	// EntryLapse is the time from the end of an endpoint until its entry leaves the list: three heartbeats of 1.2 s.
+	EntryLapse = 3600 * time.Millisecond
+	// exclusionPeriod is how long an endpoint that is known to have ended gets no requests. An endpoint that is
+	// still listed after its entry should have lapsed may be alive.
 	exclusionPeriod = 4 * time.Second
 	// trialInterval is the time from the evidence, or from the last trial, to the next trial of an endpoint that is needed. A trial
 	// costs its request one refused connection, some ms.
@@ -88,14 +90,6 @@
 	return !s.knownAt.IsZero() && now.Sub(s.evidenceAt) < exclusionPeriod
 }
 
-// KnownAt returns when the end became known, or the zero time if the instance is not excluded.
-func (s *State) KnownAt(now time.Time) time.Time {
-	if !s.Excluded(now) {
-		return time.Time{}
-	}
-	return s.knownAt
-}
-
 // MayTry reports whether one request may try an excluded instance if it can't be served otherwise.
 func (s *State) MayTry(now time.Time) bool {
 	return s.trial == "" && !now.Before(s.NextTrial())
@@ -123,3 +117,9 @@
 		s.trial = ""
 	}
 }
+
+// Known reports whether the instance is known to have ended and has not shown since that it lives, even if it may be tried again.
+func (s *State) Known() bool { return !s.knownAt.IsZero() }
+
+// Since returns when the end became known, or the zero time.
+func (s *State) Since() time.Time { return s.knownAt }
--- a/internal/core/path/stall.go
+++ b/internal/core/path/stall.go
@@ -193,6 +193,7 @@
 
 // Tick returns the streams that have stalled since the last call.
 func (s *System) Tick(now time.Time) []Stalled {
+	s.observeCover(now)
 	var out []Stalled
 	counts := map[string]int{}
 	for id, st := range s.streams {
--- a/internal/core/path/system.go
+++ b/internal/core/path/system.go
@@ -41,6 +41,11 @@
 	meanFirstWait average
 	// baselineRatio is the normal ratio of observed to modelled event gaps.
 	baselineRatio float64
+	// meanLife is the mean duration of streams. absence is the time without cover in progress, if any, and absences the durations of
+	// the last ones.
+	meanLife average
+	absence  absence
+	absences []time.Duration
 }
 
 // New returns a system without workers.
@@ -54,6 +59,7 @@
 		checks:        rate.NewLimiter(checksPerSecond, checksPerSecond),
 		meanGap:       average{value: float64(initialGap)},
 		meanFirstWait: average{value: float64(initialFirstWait)},
+		meanLife:      average{value: float64(initialLife)},
 	}
 }
 
@@ -149,7 +155,12 @@
 }
 
 // End releases the path and the load of a stream.
-func (s *System) End(id string) { s.release(id) }
+func (s *System) End(id string) {
+	if st := s.streams[id]; st != nil {
+		s.recordLife(st)
+	}
+	s.release(id)
+}
 
 func (s *System) release(id string) {
 	if st := s.streams[id]; st != nil {
