Tell refused callers when there is capacity again

Cause: forward told refused callers fixed times with a random part, and plain calls 0.2 s, though path and balance know when there is capacity again.

Change: streams that find no path, streams that no worker took and plain calls without an endpoint are refused with the time that core/returns plans from the estimate of their service. A stream whose layers are missing because workers have ended is refused at once if no worker is expected back, and none may be tried, within the 60 ms for which it would wait. What may have run is no refusal and is not expected back. Callers that are refused for other causes (pauses, limits, crashes, a host that leaves) get the same times as before.

Measured: TestEndedEndpointIsLeftOut: refused in less than 60 ms, to return in 3 to 6.1 s; before, after 60 ms, to return in 0.7 s (streams) and 0.2 s. go test -race ./platform ./internal/daemon/forward ./internal/daemon/edge pass.

--- a/internal/core/path/reopen.go
+++ b/internal/core/path/reopen.go
@@ -225,6 +225,9 @@
 	return w.serving() && !w.end.Known() && w.holds.Contains(layer)
 }
 
+// MeanLife returns how long streams have taken of late.
+func (s *System) MeanLife() time.Duration { return time.Duration(s.meanLife.value) }
+
 // recordLife adds the duration of a stream that has ended to the mean.
 func (s *System) recordLife(st *stream) {
 	if st.events > 1 {
--- a/internal/core/returns/system.go
+++ b/internal/core/returns/system.go
@@ -133,7 +133,7 @@
 	longest := min((r.Deadline.Sub(now)-r.AnswerTime)/remainingDivisor, maxAfter)
 	if longest < r.Minimum {
 		// The caller can't return in time, so it takes no place of others that can.
-		p.after = min(max(p.estimate, r.Minimum), max(maxAfter, r.Minimum))
+		p.after = min(max(p.estimate, r.Minimum)+time.Duration(s.random.Float64()*float64(r.Minimum)), max(maxAfter, r.Minimum))
 		delete(s.callers, r.Caller)
 		return p
 	}
--- a/internal/daemon/forward/ended_test.go
+++ b/internal/daemon/forward/ended_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -83,12 +84,15 @@
 					f, endpoints = newEndedHost(0)
 					f.AddMarks(marks)
 				}
-				sent := len(endpoints.sends)
+				sent, began := len(endpoints.sends), time.Now()
 				w := serveCall(f, "second", path)
 				is.Equal(w.Code, http.StatusServiceUnavailable)
 				is.Equal(len(endpoints.sends), sent)
 				is.True(w.Body.String() != causeResponseLost+"\n")
-				is.True(w.Header().Get("Retry-After") != "")
+				is.True(time.Since(began) < capacityTimeout) // a useless wait
+				after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+				is.NoErr(err)
+				is.True(after > 3 && after < 6.1) // the entry lapses after 3.6 s; a third of 20 s, less the answer
 				// A new instance at the same address gets calls.
 				list := []deployment.Endpoint{}
 				for _, e := range f.byID {
--- a/internal/daemon/forward/forwarder.go
+++ b/internal/daemon/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"waxwingplank/internal/core/limit"
 	"waxwingplank/internal/core/path"
 	"waxwingplank/internal/core/retry"
+	"waxwingplank/internal/core/returns"
 )
 
 // Config describes a Forwarder.
@@ -36,6 +37,8 @@
 	models  map[string]*path.System
 	plain   map[string]*balance.System
 	budgets map[string]*retry.Budget
+	// returns holds the callers that were refused and are due to return, by service.
+	returns map[string]*returns.System
 	runs    map[string]*run
 	hosts   int
 	byID    map[string]deployment.Endpoint
@@ -61,7 +64,7 @@
 	f := &Forwarder{
 		cfg: cfg, hosts: 1, loaded: make(chan struct{}), leaving: map[string]leavingInstance{}, verifying: map[instance]bool{},
 		models: map[string]*path.System{}, plain: map[string]*balance.System{},
-		budgets: map[string]*retry.Budget{}, runs: map[string]*run{}, byID: map[string]deployment.Endpoint{},
+		budgets: map[string]*retry.Budget{}, returns: map[string]*returns.System{}, runs: map[string]*run{}, byID: map[string]deployment.Endpoint{},
 		limits: limit.New(limit.Config{Self: cfg.Host, Started: time.Now(), Seed: cfg.Seed}),
 	}
 	f.crashes = newCrashTracker(cfg.Log, f.recordEnded)
@@ -258,6 +261,7 @@
 		return
 	}
 	r.identify()
+	r.recordArrival()
 	if r.crashesEndpoints() {
 		r.refuse(refusal{cause: causeCrashes, retryAfter: r.afterCrashes})
 		return
@@ -333,6 +337,7 @@
 	if f.runs[r.call.ID] == r {
 		delete(f.runs, r.call.ID)
 	}
+	r.recordDeparture()
 	if r.models != nil {
 		r.models.End(r.call.ID)
 	}
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -113,6 +113,8 @@
 		cause, after = causeLimited, retryAfterLimit(now, limitEnd)
 	case !pauseEnd.IsZero() && (cause == causeNoEndpoint || cause == causeRefused):
 		cause, after = causePaused, retryAfterPause(now, pauseEnd)
+	default:
+		after = r.retryAfterEndpoints(now)
 	}
 	r.fail(cause, after)
 }
--- a/internal/daemon/forward/recover.go
+++ b/internal/daemon/forward/recover.go
@@ -100,7 +100,7 @@
 		return true
 	}
 	if !s.consumeRepeat(time.Now()) {
-		s.finish(cause, retryAfterFull)
+		s.finish(cause, s.retryAfter(path.Full))
 		return true
 	}
 	return !s.start(ctx)
@@ -110,7 +110,7 @@
 // that was possible. Otherwise it ends the call.
 func (s *streamRun) retryUnsent(ctx context.Context, cause string) bool {
 	if s.launched > maxSends {
-		s.finish(cause, retryAfterFull)
+		s.finish(cause, s.retryAfter(path.Uncovered))
 		return false
 	}
 	return s.start(ctx)
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -16,6 +16,7 @@
 	"waxwingplank/internal/core/path"
 	"waxwingplank/internal/core/quarantine"
 	"waxwingplank/internal/core/retry"
+	"waxwingplank/internal/core/returns"
 )
 
 const (
@@ -91,6 +92,11 @@
 	afterCrashes time.Duration
 	// brokenAt is the endpoint to which the connection of the last attempt broke, if one did.
 	brokenAt instance
+	// arrived is set once the call counts as a caller of its service, returned if the caller was refused before. plan is what it was
+	// told when it was refused, or nil.
+	arrived  bool
+	returned bool
+	plan     *returns.Plan
 	// loggedCrashes is the number of crashes in the last line that says that the request is admitted in spite of its marks.
 	loggedCrashes int
 }
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,8 +27,8 @@
 	// several times the time within which such requests do.
 	ranInterval = 500 * time.Millisecond
 	// retryAfterFull and retryAfterUncovered are the minimum delays for refused callers. Streams end after about
-	// two seconds, and a worker loads its layers in about that time. A random delay of up to the same length is
-	// added.
+	// two seconds, and a worker loads its layers in about that time. What is known of when there is capacity makes
+	// them longer.
 	retryAfterFull      = 700 * time.Millisecond
 	retryAfterUncovered = 1500 * time.Millisecond
 )
@@ -198,13 +197,8 @@
 			s.finish(string(refusal), retryAfterLimit(time.Now(), s.limitEnd()))
 			return false
 		}
-		if !time.Now().Before(deadline) {
-			after := retryAfterFull
-			if refusal == path.Uncovered {
-				after = retryAfterUncovered
-			}
-			s.logNoPath(refusal)
-			s.finish(string(refusal), after+time.Duration(rand.Float64()*float64(after)))
+		if !time.Now().Before(deadline) || s.waitIsUseless(refusal, deadline) {
+			s.finishWithoutPath(refusal)
 			return false
 		}
 		select {
