--- a/internal/core/ended/state.go
+++ b/internal/core/ended/state.go
@@ -36,35 +36,37 @@
 	triedAt time.Time
 }
 
-// RecordEnd records that a connection to the instance broke and a new one was refused.
-func (s *State) RecordEnd(now time.Time) {
+// RecordEnd records that a connection to the instance broke and a new one was refused. It reports whether the instance was not
+// excluded before, as the other methods that record evidence do.
+func (s *State) RecordEnd(now time.Time) bool {
+	excluded := s.Excluded(now)
 	if s.knownAt.IsZero() {
 		s.knownAt = now
 	}
 	s.evidenceAt = now
+	return !excluded
 }
 
 // RecordReport records a peer's report of the end at a time, unless it is a repetition or too old to count.
-func (s *State) RecordReport(now, at time.Time) {
+func (s *State) RecordReport(now, at time.Time) bool {
 	if age := now.Sub(at); s.reported || age >= exclusionPeriod || age <= -exclusionPeriod {
-		return
+		return false
 	}
 	s.reported = true
-	if s.knownAt.IsZero() {
-		s.RecordEnd(now)
-	}
+	return s.knownAt.IsZero() && s.RecordEnd(now)
 }
 
 // RecordRefusedConnection records that the instance refused a connection. One refused connection shows no end, since a full backlog of
 // connections can have the same effect; a second one in a row does, and so does one of an instance that is known to have ended.
-func (s *State) RecordRefusedConnection(now time.Time) {
+func (s *State) RecordRefusedConnection(now time.Time) bool {
 	since := now.Sub(s.refusedAt)
 	switch {
 	case !s.knownAt.IsZero(), !s.refusedAt.IsZero() && since >= refusalSpacing && since <= refusalWindow:
-		s.RecordEnd(now)
+		return s.RecordEnd(now)
 	case s.refusedAt.IsZero() || since > refusalWindow:
 		s.refusedAt = now
 	}
+	return false
 }
 
 // RecordResponse records a response of the instance to a request that was sent at a time. It shows that the instance lives if the
--- a/internal/core/path/ended.go
+++ b/internal/core/path/ended.go
@@ -2,25 +2,23 @@
 
 import "time"
 
-// RecordEnded excludes a worker from new paths for some time because a connection to it broke and a new one was refused.
-func (s *System) RecordEnded(now time.Time, id string) {
-	if w := s.workers[id]; w != nil {
-		w.end.RecordEnd(now)
-	}
+// RecordEnded excludes a worker from new paths for some time because a connection to it broke and a new one was refused. It
+// reports whether that is new, as the other methods that record evidence do.
+func (s *System) RecordEnded(now time.Time, id string) bool {
+	w := s.workers[id]
+	return w != nil && w.end.RecordEnd(now)
 }
 
 // RecordEndReport excludes a worker from new paths for some time because a peer has reported that it ended at the given time.
-func (s *System) RecordEndReport(now, at time.Time, id string) {
-	if w := s.workers[id]; w != nil {
-		w.end.RecordReport(now, at)
-	}
+func (s *System) RecordEndReport(now, at time.Time, id string) bool {
+	w := s.workers[id]
+	return w != nil && w.end.RecordReport(now, at)
 }
 
 // RecordRefusedConnection records that a worker refused a connection.
-func (s *System) RecordRefusedConnection(now time.Time, id string) {
-	if w := s.workers[id]; w != nil {
-		w.end.RecordRefusedConnection(now)
-	}
+func (s *System) RecordRefusedConnection(now time.Time, id string) bool {
+	w := s.workers[id]
+	return w != nil && w.end.RecordRefusedConnection(now)
 }
 
 // RecordResponse records that a worker responded to a request that was sent at the given time.
--- a/internal/daemon/edge/metrics.go
+++ b/internal/daemon/edge/metrics.go
@@ -34,6 +34,7 @@
 		{fmt.Sprintf("waxwingplank_role{role=%q}", d.hosts.role(now)), 1},
 		{"waxwingplank_hosts", int64(d.hosts.count())},
 		{"waxwingplank_endpoints", int64(len(endpoints))},
+		{"waxwingplank_endpoints_ended", int64(d.forwarder.Ended())},
 		{"waxwingplank_endpoints_limited", int64(d.forwarder.Limited())},
 		{"waxwingplank_endpoints_age_ms", d.view.endpointsAge(now).Milliseconds()},
 		{"waxwingplank_config_version", version},
--- a/internal/daemon/forward/ended.go
+++ b/internal/daemon/forward/ended.go
@@ -15,17 +15,22 @@
 	return e, ok && e.State == deployment.Ready && quarantine.NewCrashID(table.EndpointID(e.ID), uint64(e.StartedMs)) == instance
 }
 
+// The sources of what is known of the end of an endpoint, as they are logged.
+const (
+	endBroken  = "broken_connection"
+	endPeer    = "peer"
+	endRefused = "refused_connections"
+)
+
 // recordEnded excludes an instance of an endpoint that has ended as the connections of this host show. The caller holds the lock.
 func (f *Forwarder) recordEnded(now time.Time, instance quarantine.CrashID) {
 	e, ok := f.listedInstance(instance)
-	if !ok {
-		return
-	}
-	if s := f.models[e.Service]; s != nil {
-		s.RecordEnded(now, e.ID)
-	}
-	if s := f.plain[e.Service]; s != nil {
-		s.RecordEnded(now, e.ID)
+	switch {
+	case !ok:
+	case f.models[e.Service] != nil && f.models[e.Service].RecordEnded(now, e.ID):
+		f.logLeftOut(e, endBroken)
+	case f.plain[e.Service] != nil && f.plain[e.Service].RecordEnded(now, e.ID):
+		f.logLeftOut(e, endBroken)
 	}
 }
 
@@ -34,26 +39,46 @@
 func (f *Forwarder) recordEndReports(now time.Time, marks []quarantine.Mark) {
 	for _, m := range marks {
 		e, ok := f.listedInstance(m.Crash())
-		if !ok {
-			continue
-		}
-		if s := f.models[e.Service]; s != nil {
-			s.RecordEndReport(now, m.At(), e.ID)
-		}
-		if s := f.plain[e.Service]; s != nil {
-			s.RecordEndReport(now, m.At(), e.ID)
+		switch {
+		case !ok:
+		case f.models[e.Service] != nil && f.models[e.Service].RecordEndReport(now, m.At(), e.ID):
+			f.logLeftOut(e, endPeer)
+		case f.plain[e.Service] != nil && f.plain[e.Service].RecordEndReport(now, m.At(), e.ID):
+			f.logLeftOut(e, endPeer)
 		}
 	}
 }
 
 // recordRefusedConnection records that an instance refused a connection. The caller holds the lock.
 func (f *Forwarder) recordRefusedConnection(now time.Time, e deployment.Endpoint) {
-	if s := f.models[e.Service]; s != nil {
-		s.RecordRefusedConnection(now, e.ID)
+	switch {
+	case f.models[e.Service] != nil && f.models[e.Service].RecordRefusedConnection(now, e.ID):
+		f.logLeftOut(e, endRefused)
+	case f.plain[e.Service] != nil && f.plain[e.Service].RecordRefusedConnection(now, e.ID):
+		f.logLeftOut(e, endRefused)
+	}
+}
+
+// logLeftOut logs and counts that an endpoint gets no calls because it seems to have ended.
+func (f *Forwarder) logLeftOut(e deployment.Endpoint, source string) {
+	f.cfg.Log.Decision("", "endpoint left out", map[string]any{
+		fieldEndpoint: e.ID, fieldAddress: e.Address, "instance": string(quarantine.NewCrashID(table.EndpointID(e.ID), uint64(e.StartedMs))), "source": source,
+	})
+	f.cfg.Metrics.Ended()
+}
+
+// Ended returns how many endpoints are left out now because they seem to have ended.
+func (f *Forwarder) Ended() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, n := time.Now(), 0
+	for _, s := range f.models {
+		n += s.Ended(now)
 	}
-	if s := f.plain[e.Service]; s != nil {
-		s.RecordRefusedConnection(now, e.ID)
+	for _, s := range f.plain {
+		n += s.Ended(now)
 	}
+	return n
 }
 
 // recordLife records what a reply to a request that was sent at the given time shows of the end of its endpoint.
--- a/internal/daemon/forward/ended_test.go
+++ b/internal/daemon/forward/ended_test.go
@@ -93,6 +93,14 @@
 				after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
 				is.NoErr(err)
 				is.True(after > 3 && after < 6.1) // the entry lapses after 3.6 s; a third of 20 s, less the answer
+				serveCall(f, "second", path)      // the caller returns too early
+				var text strings.Builder
+				is.NoErr(f.cfg.Metrics.Write(&text))
+				cause := strings.TrimSpace(w.Body.String())
+				for _, line := range []string{"callers_returned_total{result=\"refused\"} 1", "retry_after_ms_count{cause=\"" + cause + "\"} 2", "endpoints_ended_total 1"} {
+					is.True(strings.Contains(text.String(), "waxwingplank_"+line+"\n"))
+				}
+				is.Equal(f.Ended(), 1)
 				// A new instance at the same address gets calls.
 				list := []deployment.Endpoint{}
 				for _, e := range f.byID {
@@ -106,3 +114,15 @@
 		}
 	}
 }
+
+// Guards against returns that are planned by the priority of the route though the workspace has its own.
+func TestEffectivePriority(t *testing.T) {
+	is := is.New(t)
+	f, _ := newEndedHost(0)
+	urgent := 1
+	f.SetTable(deployment.NewTable(deployment.Config{Workspaces: []deployment.Workspace{{Name: "u", Keys: []string{"u"}, Priority: &urgent}, {Name: "v", Keys: []string{"v"}}}}))
+	for key, want := range map[string]int{"u": 1, "v": 4, "": 4} {
+		r := &run{f: f, call: &Call{Key: key}, route: &deployment.Route{Priority: 4}}
+		is.Equal(r.effectivePriority(), want)
+	}
+}
--- a/internal/daemon/forward/metrics.go
+++ b/internal/daemon/forward/metrics.go
@@ -27,6 +27,7 @@
 	answered *expvar.Map
 	leaving  *expvar.Int
 	paused   *expvar.Int
+	returns  returnMetrics
 	mu       sync.Mutex
 	first    *hdrhistogram.Histogram
 	total    *hdrhistogram.Histogram
@@ -36,8 +37,9 @@
 func NewMetrics() *Metrics {
 	return &Metrics{
 		refused: new(expvar.Map), aborted: new(expvar.Map), answered: new(expvar.Map), leaving: new(expvar.Int), paused: new(expvar.Int),
-		first: hdrhistogram.New(minMs, maxMs, significantDigits),
-		total: hdrhistogram.New(minMs, maxMs, significantDigits),
+		returns: newReturnMetrics(),
+		first:   hdrhistogram.New(minMs, maxMs, significantDigits),
+		total:   hdrhistogram.New(minMs, maxMs, significantDigits),
 	}
 }
 
@@ -94,6 +96,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.returns.write(w); err != nil {
+		return eris.Wrap(err, "forward.Metrics write")
+	}
 	for _, h := range []struct {
 		name string
 		hist *hdrhistogram.Histogram
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -284,5 +284,6 @@
 		r.abort(causeResponseLost)
 	}
 	r.log("answered", map[string]any{fieldEndpoint: e.ID, fieldStatus: answer.reply.Status, fieldSends: r.sends})
+	r.answered = true
 	r.f.cfg.Metrics.Answered(r.route.Kind, time.Since(r.call.Received))
 }
--- a/internal/daemon/forward/returns.go
+++ b/internal/daemon/forward/returns.go
@@ -27,11 +27,30 @@
 	r.returned = r.f.returnsOf(r.service).Arrive(time.Now(), returns.Caller(r.fingerprint))
 }
 
-// recordDeparture records that a caller which was not told to return does not. The caller holds the lock.
+// recordDeparture records that a caller which was not told to return does not, and counts the result of one that had returned. The
+// caller holds the lock.
 func (r *run) recordDeparture() {
 	if r.arrived && r.plan == nil {
 		r.f.returnsOf(r.service).Leave(returns.Caller(r.fingerprint))
 	}
+	switch {
+	case !r.returned:
+	case r.refused:
+		r.f.cfg.Metrics.Returned(returnRefused)
+	case r.answered:
+		r.f.cfg.Metrics.Returned(returnServed)
+	default:
+		r.f.cfg.Metrics.Returned(returnFailed)
+	}
+}
+
+// addPlan adds what the caller was told, and why, to the fields of a log line.
+func (r *run) addPlan(fields map[string]any) {
+	if r.plan == nil {
+		return
+	}
+	fields["retry_after_ms"], fields["estimate_ms"] = r.plan.After().Milliseconds(), r.plan.Estimate().Milliseconds()
+	fields["estimate_source"], fields["again"] = string(r.plan.Source()), r.plan.Again()
 }
 
 // planReturn returns when the caller of a call that is about to be refused shall return, at least a minimum. The caller holds the lock.
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -94,8 +94,11 @@
 	brokenAt instance
 	// arrived is set once the call counts as a caller of its service, returned if the caller was refused before. plan is what it was
 	// told when it was refused, or nil.
+	// refused and answered are set once it is refused or an endpoint's answer has been relayed.
 	arrived  bool
 	returned bool
+	refused  bool
+	answered bool
 	plan     *returns.Plan
 	// loggedCrashes is the number of crashes in the last line that says that the request is admitted in spite of its marks.
 	loggedCrashes int
@@ -202,6 +205,8 @@
 }
 
 func (r *run) refuse(why refusal) {
+	r.refused = true
+	r.f.cfg.Metrics.RetryAfter(why.cause, why.retryAfter)
 	r.w.Header().Set("Retry-After", strconv.FormatFloat(why.retryAfter.Seconds(), 'f', 3, 64))
 	r.respond(http.StatusServiceUnavailable, why.cause)
 }
@@ -212,6 +217,7 @@
 	if r.route != nil {
 		fields["route"], fields["config"] = r.route.Name, r.version
 	}
+	r.addPlan(fields)
 	r.log("answered by host", fields)
 	r.f.cfg.Metrics.Refused(cause)
 	r.body.abandon()
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -230,9 +230,11 @@
 	d := s.demand()
 	report := s.models.CapacityReport(time.Now(), d)
 	s.f.mu.Unlock()
-	s.log("no path", map[string]any{
+	fields := map[string]any{
 		fieldCause: string(refusal), "prompt": d.PromptTokens, "answer": d.AnswerTokens, "avoid": len(d.Avoid), "state": report,
-	})
+	}
+	s.addPlan(fields)
+	s.log("no path", fields)
 }
 
 // place chooses a path and charges its workers for the call. With allowAvoided, it falls back to workers on which
@@ -385,6 +387,7 @@
 			"first_ms": s.firstWait.Milliseconds(), "gap_ms": s.maxGap.Milliseconds(),
 			"close_delimited": s.attempt.closeDelimited,
 		})
+		s.answered = true
 		s.f.cfg.Metrics.Answered(s.route.Kind, time.Since(s.call.Received))
 		return true
 	}
