Check that each refused caller of a played load is served in the end

Cause: TestRefusedCallersReturn counted only callers that had given up, and not those still waiting when the load stops.

Change: the test counts every refused caller that was not served.

--- a/internal/core/path/returns_test.go
+++ b/internal/core/path/returns_test.go
@@ -223,7 +223,7 @@
 		if len(c.waits) > 2 {
 			thrice++
 		}
-		if c.served.IsZero() && c.gone {
+		if c.served.IsZero() {
 			away++
 		}
 	}
