--- a/internal/core/ended/state.go
+++ b/internal/core/ended/state.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// exclusionPeriod is how long an endpoint that is known to have ended gets no requests. Its entry leaves the list within three
-	// heartbeats, about 3.6 s; an endpoint that is still listed after that may be alive.
+	// EntryLapse is the time from the end of an endpoint until its entry leaves the list: three heartbeats of 1.2 s.
+	EntryLapse = 3600 * time.Millisecond
+	// exclusionPeriod is how long an endpoint that is known to have ended gets no requests. An endpoint that is
+	// still listed after its entry should have lapsed may be alive.
 	exclusionPeriod = 4 * time.Second
 	// trialInterval is the time from the evidence, or from the last trial, to the next trial of an endpoint that is needed. A trial
 	// costs its request one refused connection, some ms.
@@ -34,35 +36,37 @@
 	triedAt time.Time
 }
 
-// RecordEnd records that a connection to the instance broke and a new one was refused.
-func (s *State) RecordEnd(now time.Time) {
+// RecordEnd records that a connection to the instance broke and a new one was refused. It reports whether the instance was not
+// excluded before, as the other methods that record evidence do.
+func (s *State) RecordEnd(now time.Time) bool {
+	excluded := s.Excluded(now)
 	if s.knownAt.IsZero() {
 		s.knownAt = now
 	}
 	s.evidenceAt = now
+	return !excluded
 }
 
 // RecordReport records a peer's report of the end at a time, unless it is a repetition or too old to count.
-func (s *State) RecordReport(now, at time.Time) {
+func (s *State) RecordReport(now, at time.Time) bool {
 	if age := now.Sub(at); s.reported || age >= exclusionPeriod || age <= -exclusionPeriod {
-		return
+		return false
 	}
 	s.reported = true
-	if s.knownAt.IsZero() {
-		s.RecordEnd(now)
-	}
+	return s.knownAt.IsZero() && s.RecordEnd(now)
 }
 
 // RecordRefusedConnection records that the instance refused a connection. One refused connection shows no end, since a full backlog of
 // connections can have the same effect; a second one in a row does, and so does one of an instance that is known to have ended.
-func (s *State) RecordRefusedConnection(now time.Time) {
+func (s *State) RecordRefusedConnection(now time.Time) bool {
 	since := now.Sub(s.refusedAt)
 	switch {
 	case !s.knownAt.IsZero(), !s.refusedAt.IsZero() && since >= refusalSpacing && since <= refusalWindow:
-		s.RecordEnd(now)
+		return s.RecordEnd(now)
 	case s.refusedAt.IsZero() || since > refusalWindow:
 		s.refusedAt = now
 	}
+	return false
 }
 
 // RecordResponse records a response of the instance to a request that was sent at a time. It shows that the instance lives if the
@@ -88,14 +92,6 @@
 	return !s.knownAt.IsZero() && now.Sub(s.evidenceAt) < exclusionPeriod
 }
 
-// KnownAt returns when the end became known, or the zero time if the instance is not excluded.
-func (s *State) KnownAt(now time.Time) time.Time {
-	if !s.Excluded(now) {
-		return time.Time{}
-	}
-	return s.knownAt
-}
-
 // MayTry reports whether one request may try an excluded instance if it can't be served otherwise.
 func (s *State) MayTry(now time.Time) bool {
 	return s.trial == "" && !now.Before(s.NextTrial())
@@ -123,3 +119,9 @@
 		s.trial = ""
 	}
 }
+
+// Known reports whether the instance is known to have ended and has not shown since that it lives, even if it may be tried again.
+func (s *State) Known() bool { return !s.knownAt.IsZero() }
+
+// Since returns when the end became known, or the zero time.
+func (s *State) Since() time.Time { return s.knownAt }
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,8 +27,8 @@
 	// several times the time within which such requests do.
 	ranInterval = 500 * time.Millisecond
 	// retryAfterFull and retryAfterUncovered are the minimum delays for refused callers. Streams end after about
-	// two seconds, and a worker loads its layers in about that time. A random delay of up to the same length is
-	// added.
+	// two seconds, and a worker loads its layers in about that time. What is known of when there is capacity makes
+	// them longer.
 	retryAfterFull      = 700 * time.Millisecond
 	retryAfterUncovered = 1500 * time.Millisecond
 )
@@ -201,13 +200,8 @@
 			s.finish(string(refusal), retryAfterLimit(time.Now(), s.limitEnd()))
 			return false
 		}
-		if !time.Now().Before(deadline) {
-			after := retryAfterFull
-			if refusal == path.Uncovered {
-				after = retryAfterUncovered
-			}
-			s.logNoPath(refusal)
-			s.finish(string(refusal), after+time.Duration(rand.Float64()*float64(after)))
+		if !time.Now().Before(deadline) || s.waitIsUseless(refusal, deadline) {
+			s.finishWithoutPath(refusal)
 			return false
 		}
 		select {
@@ -239,9 +233,11 @@
 	d := s.demand()
 	report := s.models.CapacityReport(time.Now(), d)
 	s.f.mu.Unlock()
-	s.log("no path", map[string]any{
+	fields := map[string]any{
 		fieldCause: string(refusal), "prompt": d.PromptTokens, "answer": d.AnswerTokens, "avoid": len(d.Avoid), "state": report,
-	})
+	}
+	s.addPlan(fields)
+	s.log("no path", fields)
 }
 
 // place chooses a path and charges its workers for the call. With allowAvoided, it falls back to workers on which
@@ -403,6 +399,7 @@
 			"first_ms": s.firstWait.Milliseconds(), "gap_ms": s.maxGap.Milliseconds(),
 			"close_delimited": s.attempt.closeDelimited,
 		})
+		s.answered = true
 		s.f.cfg.Metrics.Answered(s.route.Kind, time.Since(s.call.Received))
 		return true
 	}
