--- a/internal/core/path/reopen.go
+++ b/internal/core/path/reopen.go
@@ -168,7 +168,7 @@
 // memoryOpening estimates when enough of the streams on the workers that bind have ended to fit a demand.
 func (s *System) memoryOpening(now time.Time, d Demand) returns.Opening {
 	wait, streams := 0.0, math.Inf(1)
-	for _, l := range s.fullLayers(d) {
+	for _, l := range s.fullLayers(now, d) {
 		soonest, running := math.Inf(1), 0.0
 		for _, w := range s.workers {
 			if !s.binds(w, l) {
@@ -194,14 +194,15 @@
 }
 
 // fullLayers returns the layers all of whose holders have too little free memory for a demand, one for each set of holders at most.
-func (s *System) fullLayers(d Demand) []int {
+func (s *System) fullLayers(now time.Time, d Demand) []int {
+	reserved := s.reserve(now, d)
 	var out []int
 	for _, l := range cutsOf(s.candidatesOf(func(w *worker) bool { return w.serving() && !w.end.Known() }), deployment.Range{To: s.engine.Layers}) {
 		held, free := false, false
 		for _, w := range s.workers {
 			if s.binds(w, l) {
 				held = true
-				free = free || !w.exceedsMemory(d, s.peers)
+				free = free || !w.exceedsMemory(d, s.peers, reserved)
 			}
 		}
 		if held && !free {
--- a/internal/daemon/forward/ended_test.go
+++ b/internal/daemon/forward/ended_test.go
@@ -116,13 +116,18 @@
 }
 
 // Guards against returns that are planned by the priority of the route though the workspace has its own.
-func TestEffectivePriority(t *testing.T) {
+func TestClassOfReturns(t *testing.T) {
 	is := is.New(t)
-	f, _ := newEndedHost(0)
 	urgent := 1
-	f.SetTable(deployment.NewTable(deployment.Config{Workspaces: []deployment.Workspace{{Name: "u", Keys: []string{"u"}, Priority: &urgent}, {Name: "v", Keys: []string{"v"}}}}))
-	for key, want := range map[string]int{"u": 1, "v": 4, "": 4} {
-		r := &run{f: f, call: &Call{Key: key}, route: &deployment.Route{Priority: 4}}
-		is.Equal(r.effectivePriority(), want)
+	route := deployment.Route{Name: "r", Host: "h", Prefix: "/", Priority: 4}
+	f, _ := newEndedHost(0)
+	f.SetTable(deployment.NewTable(deployment.Config{
+		Routes:     []deployment.Route{route},
+		Workspaces: []deployment.Workspace{{Name: "u", Keys: []string{"u"}, Priority: &urgent}, {Name: "v", Keys: []string{"v"}}},
+	}))
+	for key, want := range map[string]deployment.Class{"u": 1, "v": 4, "": 4} {
+		r := &run{f: f, call: &Call{Key: key, Host: "h", Path: "/x"}}
+		f.classify(r)
+		is.Equal(r.class, want)
 	}
 }
--- a/internal/daemon/forward/returns.go
+++ b/internal/daemon/forward/returns.go
@@ -61,21 +61,13 @@
 	}
 	remaining := r.deadline.Sub(now)
 	plan := r.f.returnsOf(r.service).Refuse(now, returns.Refusal{
-		Caller: returns.Caller(r.fingerprint), Priority: r.effectivePriority(), Opening: opening, Minimum: minimum, Deadline: r.deadline,
+		Caller: returns.Caller(r.fingerprint), Priority: int(r.class), Opening: opening, Minimum: minimum, Deadline: r.deadline,
 		AnswerTime: min(answer, time.Duration(maxAnswerShare*float64(remaining))),
 	})
 	r.plan = &plan
 	return plan.After()
 }
 
-// effectivePriority returns the priority of the workspace, or else that of the route. The caller holds the lock.
-func (r *run) effectivePriority() int {
-	if w := r.f.table.Workspace(r.call.Key); w != nil && w.Priority != nil {
-		return *w.Priority
-	}
-	return r.route.Priority
-}
-
 // retryAfter returns when the caller of a stream that found no path shall return.
 func (s *streamRun) retryAfter(refusal path.Refusal) time.Duration {
 	s.f.mu.Lock()
