--- a/internal/core/deployment/class.go
+++ b/internal/core/deployment/class.go
@@ -1,5 +1,7 @@
 package deployment
 
+import "strconv"
+
 // Class is the urgency of a request. 0 is the most urgent.
 type Class int
 
@@ -9,6 +11,9 @@
 // ClassOf returns the class of a priority. Priorities out of range count as the nearest class.
 func ClassOf(priority int) Class { return min(max(Class(priority), 0), LowestClass) }
 
+// String returns the class as it is sent and logged.
+func (c Class) String() string { return strconv.Itoa(int(c)) }
+
 // Class returns the class of a route's request. The priority of its workspace, which may be nil, takes precedence over that of the
 // route.
 func (t *Table) Class(r *Route, w *Workspace) Class {
--- a/internal/core/path/bench_test.go
+++ b/internal/core/path/bench_test.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// BenchmarkChooseByClass measures the cost of choosing one path for a request that leaves a reserve for another class.
+func BenchmarkChooseByClass(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("workers=%d", size.domains*size.copies*8), func(b *testing.B) {
+			s := newSystem(rows(size.domains, size.copies))
+			d := typicalDemand
+			d.Domain = "d0"
+			s.RecordRequest(start, d)
+			d.Class = 1
+			for b.Loop() {
+				if _, refusal := s.Choose(start, d); refusal != Accepted {
+					b.Fatal(refusal)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkTick measures the cost of one check for stalled streams; there are a hundred checks per second.
 func BenchmarkTick(b *testing.B) {
 	for _, size := range benchSizes {
--- a/internal/daemon/edge/metrics.go
+++ b/internal/daemon/edge/metrics.go
@@ -44,5 +44,10 @@
 			return eris.Wrap(err, "edge.Daemon write metrics")
 		}
 	}
+	for _, r := range d.forwarder.ReservedShares(now) {
+		if _, err := fmt.Fprintf(w, "waxwingplank_reserved_share{service=%q,class=%q} %.3f\n", r.Service, r.Class, r.Share); err != nil {
+			return eris.Wrap(err, "edge.Daemon write metrics")
+		}
+	}
 	return nil
 }
--- a/internal/daemon/forward/metrics.go
+++ b/internal/daemon/forward/metrics.go
@@ -27,15 +27,20 @@
 	answered *expvar.Map
 	leaving  *expvar.Int
 	paused   *expvar.Int
-	mu       sync.Mutex
-	first    *hdrhistogram.Histogram
-	total    *hdrhistogram.Histogram
+	// placed, waited and noRoom count streams by their class.
+	placed *expvar.Map
+	waited *expvar.Map
+	noRoom *expvar.Map
+	mu     sync.Mutex
+	first  *hdrhistogram.Histogram
+	total  *hdrhistogram.Histogram
 }
 
 // NewMetrics returns counters at zero.
 func NewMetrics() *Metrics {
 	return &Metrics{
 		refused: new(expvar.Map), aborted: new(expvar.Map), answered: new(expvar.Map), leaving: new(expvar.Int), paused: new(expvar.Int),
+		placed: new(expvar.Map), waited: new(expvar.Map), noRoom: new(expvar.Map),
 		first: hdrhistogram.New(minMs, maxMs, significantDigits),
 		total: hdrhistogram.New(minMs, maxMs, significantDigits),
 	}
@@ -69,6 +74,17 @@
 	_ = h.RecordValue(min(max(elapsed.Milliseconds(), minMs), maxMs)) //nolint:errcheck // within bounds
 }
 
+// Placed counts a new stream for which there was a path, and whether it had to wait for that.
+func (m *Metrics) Placed(class deployment.Class, waited bool) {
+	m.placed.Add(class.String(), 1)
+	if waited {
+		m.waited.Add(class.String(), 1)
+	}
+}
+
+// NoRoom counts a stream that ends because there was no room on the workers or on the links between domains.
+func (m *Metrics) NoRoom(class deployment.Class) { m.noRoom.Add(class.String(), 1) }
+
 // Write writes all metrics as text, one name and value per line.
 func (m *Metrics) Write(w io.Writer) error {
 	for _, c := range []struct {
@@ -78,6 +94,9 @@
 		{"waxwingplank_answers_by_host_total", fieldCause, m.refused},
 		{"waxwingplank_answers_cut_short_total", fieldCause, m.aborted},
 		{"waxwingplank_answers_total", "kind", m.answered},
+		{"waxwingplank_streams_placed_total", fieldClass, m.placed},
+		{"waxwingplank_streams_waited_total", fieldClass, m.waited},
+		{"waxwingplank_streams_no_room_total", fieldClass, m.noRoom},
 	} {
 		var err error
 		c.counts.Do(func(kv expvar.KeyValue) {
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -179,7 +179,7 @@
 		timeout = resumeTimeout - time.Since(s.lastProgress)
 	}
 	deadline := time.Now().Add(timeout)
-	for {
+	for waited := false; ; waited = true {
 		if s.launched > 0 && s.crashesEndpoints() {
 			s.finish(causeCrashes, s.afterCrashes)
 			return false
@@ -188,6 +188,7 @@
 		// available.
 		p, d, refusal := s.place(time.Until(deadline) < timeout/2)
 		if refusal == path.Accepted {
+			s.countPlaced(waited)
 			s.launch(ctx, p, d)
 			return true
 		}
@@ -233,15 +234,18 @@
 	return s.models.LimitEnd(time.Now())
 }
 
-// logNoPath logs why no path was found for the call.
+// logNoPath logs why no path was found for the call, and counts calls for which there is no room.
 func (s *streamRun) logNoPath(refusal path.Refusal) {
 	s.f.mu.Lock()
 	d := s.demand()
 	report := s.models.CapacityReport(time.Now(), d)
 	s.f.mu.Unlock()
 	s.log("no path", map[string]any{
-		fieldCause: string(refusal), "prompt": d.PromptTokens, "answer": d.AnswerTokens, "avoid": len(d.Avoid), "state": report,
+		fieldCause: string(refusal), fieldClass: int(d.Class), "prompt": d.PromptTokens, "answer": d.AnswerTokens, "avoid": len(d.Avoid), "state": report,
 	})
+	if refusal == path.Full || refusal == path.Congested {
+		s.f.cfg.Metrics.NoRoom(d.Class)
+	}
 }
 
 // place chooses a path and charges its workers for the call. With allowAvoided, it falls back to workers on which
--- a/internal/daemon/forward/types.go
+++ b/internal/daemon/forward/types.go
@@ -123,4 +123,5 @@
 	fieldParts    = "parts"
 	fieldContent  = "content"
 	fieldAddress  = "address"
+	fieldClass    = "class"
 )
