--- a/internal/daemon/forward/types.go
+++ b/internal/daemon/forward/types.go
@@ -128,4 +128,5 @@
 	fieldParts    = "parts"
 	fieldContent  = "content"
 	fieldAddress  = "address"
+	fieldClass    = "class"
 )
