--- a/internal/ingress/tcp/doc.go
+++ b/internal/ingress/tcp/doc.go
@@ -1,4 +1,4 @@
-// Package tcp listens for connections of callers.
+// Package tcp listens for connections of callers, and limits what these may send before a request is served.
 //
-// It must not import daemon, platform, endpoint or peer packages.
+// The decisions are those of core/connection. It must not import daemon, platform, endpoint or peer packages.
 package tcp
