Enforce the limits of the configuration, and bounds for the process, on entry hosts

The limits of the configuration were read but not enforced: net/http's 1 MB a head and a fixed 10 s held, and nothing bounded all heads or connections.

The callers', readiness, directory and metrics addresses share one guard. It follows max_header_bytes, header_timeout_ms and idle_timeout_ms as they change. Unfinished heads get an eighth of memory_mb together, connections 16 for each MB and at most three quarters of max_descriptors; unfinished_heads_kb and max_connections override these. Closed connections are logged once a second at most and counted in the metrics.

--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -53,10 +53,6 @@
 	leaseRenewal    = 1200 * time.Millisecond
 	leaseStopMargin = 800 * time.Millisecond
 	leasePlacing    = "placing"
-	// idleTimeout is longer than clients are told to keep a connection; the limit in the configuration is shorter.
-	idleTimeout = time.Minute
-	// headerTimeout applies until the configuration sets another one.
-	headerTimeout = 10 * time.Second
 	// directoryTTL is how long callers may cache a response. It is short because they use it for up to three times
 	// as long.
 	directoryTTL = time.Second
@@ -117,6 +113,7 @@
 	schedule    roster.Schedule
 	placer      *placing.Placer
 	leases      *leases.Manager
+	limits      *callerLimits
 	leaving     atomic.Bool
 
 	settingsMu sync.Mutex
@@ -146,10 +143,15 @@
 		Endpoints: cfg.Workers, Log: decisions{j}, Metrics: d.metrics, Host: cfg.Settings.file.Host, Domain: cfg.Settings.file.FailureDomain,
 		Budget: cfg.Settings.budget(startTime), Seed: rand.Int63(),
 	})
+	d.limits = newCallerLimits(cfg.Settings)
 	d.view = &view{
 		platform: cfg.Platform, log: d.log, leftOut: map[string]int64{}, removals: map[string]int64{},
-		onTable: d.forwarder.SetTable, onEndpoints: d.forwarder.SetEndpoints,
-		startTime: startTime, trustedAge: cfg.Settings.applyTime(),
+		onTable: func(t *deployment.Table) {
+			d.limits.setTable(t)
+			d.forwarder.SetTable(t)
+		},
+		onEndpoints: d.forwarder.SetEndpoints,
+		startTime:   startTime, trustedAge: cfg.Settings.applyTime(),
 	}
 	d.hosts = &hosts{
 		cfg: cfg.Settings, log: d.log, view: d.view, client: exchange.NewClient(reportTimeout), store: cfg.Store,
@@ -203,7 +205,7 @@
 		d.follower(d.cfg.Platform.ConfigKind(), configInterval, 0, d.view.configAge, d.view.configChanged).Run,
 		d.follower(d.cfg.Platform.EndpointsKind(), endpointInterval, lapsedReturnTime, d.view.endpointsAge, d.view.endpointsChanged).Run,
 		func(ctx context.Context) { d.hosts.discover(ctx, d.incarnation) }, d.contendForLease,
-		d.hosts.run, d.hosts.applyUsage, d.checkStreams, d.checkSlowdowns, d.place, d.leases.Run,
+		func(ctx context.Context) { d.limits.guard.Run(ctx, d.log) }, d.hosts.run, d.hosts.applyUsage, d.checkStreams, d.checkSlowdowns, d.place, d.leases.Run,
 	} {
 		tasks.Add(1)
 		go func() {
@@ -388,10 +390,13 @@
 // listen opens the listeners. Those that were opened before an error are returned with it.
 func (d *Daemon) listen(ctx context.Context, tasks *sync.WaitGroup) (*servers, error) {
 	f := d.cfg.Settings.file
-	s := &servers{callers: &http.Server{
-		Handler:           d.cfg.Platform.Callers(d.forwarder, d.leaving.Load),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: nil,
-	}}
+	newServer := func(handler http.Handler) *http.Server {
+		return &http.Server{
+			Handler: handler, ConnState: d.limits.guard.ConnState,
+			ReadHeaderTimeout: serverTimeout, IdleTimeout: serverTimeout, MaxHeaderBytes: serverHeaderBytes,
+		}
+	}
+	s := &servers{callers: newServer(d.cfg.Platform.Callers(d.forwarder, d.leaving.Load))}
 	serve := func(srv *http.Server, address string) (tcp.Listener, error) {
 		listener, err := tcp.Listen(ctx, net.ListenConfig{}, address)
 		if err != nil {
@@ -400,7 +405,7 @@
 		tasks.Add(1)
 		go func() {
 			defer tasks.Done()
-			if err := srv.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			if err := srv.Serve(d.limits.guard.Listener(tcp.ListenerConfig{Listener: listener, Reserved: srv != s.callers})); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				d.log.WithError(err).WithField("address", address).Error("listener ended")
 			}
 		}()
@@ -411,7 +416,9 @@
 		f.Directory: d.cfg.Platform.Directory(d.addresses, d.log),
 		f.Metrics:   http.HandlerFunc(d.writeMetrics),
 	} {
-		srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		srv := newServer(handler)
+		// These requests have no bodies. A body that does not come would keep its connection for ever.
+		srv.ReadTimeout = idleTimeout
 		_, err := serve(srv, address)
 		if err != nil && address == f.Metrics {
 			// Callers can be served without metrics.
--- a/internal/daemon/edge/metrics.go
+++ b/internal/daemon/edge/metrics.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"waxwingplank/internal/core/connection"
 )
 
 // writeMetrics serves the counters of calls, this host's role and the ages of its lists.
@@ -27,10 +29,12 @@
 	if table != nil {
 		version = table.Version()
 	}
-	for _, g := range []struct {
+	type gauge struct {
 		name  string
 		value int64
-	}{
+	}
+	stats := d.limits.guard.Stats()
+	gauges := []gauge{
 		{fmt.Sprintf("waxwingplank_role{role=%q}", d.hosts.role(now)), 1},
 		{"waxwingplank_hosts", int64(d.hosts.count())},
 		{"waxwingplank_endpoints", int64(len(endpoints))},
@@ -39,7 +43,13 @@
 		{"waxwingplank_config_version", version},
 		{"waxwingplank_config_age_ms", d.view.configAge(now).Milliseconds()},
 		{"waxwingplank_store_age_ms", d.view.storeAge(now).Milliseconds()},
-	} {
+		{"waxwingplank_connections_open", int64(stats.Open)},
+		{"waxwingplank_unfinished_heads_bytes", stats.HeadMemoryBytes},
+	}
+	for _, cause := range connection.Causes() {
+		gauges = append(gauges, gauge{fmt.Sprintf("waxwingplank_connections_closed_total{cause=%q}", cause), stats.Closed[cause]})
+	}
+	for _, g := range gauges {
 		if _, err := fmt.Fprintf(w, "%s %d\n", g.name, g.value); err != nil {
 			return eris.Wrap(err, "edge.Daemon write metrics")
 		}
--- a/internal/daemon/edge/reload.go
+++ b/internal/daemon/edge/reload.go
@@ -18,6 +18,7 @@
 // reloadable lists the settings that take effect without a restart.
 var reloadable = map[string]bool{
 	"seed_addresses": true, "memory_mb": true, "budget": true, "directory_ttl_max_s": true, "grace_s": true,
+	"unfinished_heads_kb": true, "max_connections": true,
 }
 
 // WatchSettings reloads the settings file on each SIGHUP that hangups receives, and when the file changes. It returns at
@@ -60,6 +61,7 @@
 	}
 	debug.SetMemoryLimit(set.memoryLimit())
 	d.forwarder.SetBudget(set.budget(d.startTime))
+	d.limits.setSettings(set)
 	d.settings = set
 	d.log.WithFields(logrus.Fields{"applied": applied, "needs_restart": restart}).Info("settings reloaded")
 }
--- a/internal/daemon/edge/settings.go
+++ b/internal/daemon/edge/settings.go
@@ -35,8 +35,14 @@
 	// FirstStart is true if the whole system starts for the first time.
 	FirstStart bool   `json:"first_start"`
 	LogLevel   string `json:"log_level"`
+	// UnfinishedHeadsKB and MaxConnections replace the limits that follow from the memory and the descriptors, if they are not 0.
+	UnfinishedHeadsKB int64 `json:"unfinished_heads_kb"`
+	MaxConnections    int   `json:"max_connections"`
 }
 
+// minUnfinishedHeadsKB leaves room for a few heads of the usual 16 KB.
+const minUnfinishedHeadsKB = 64
+
 type budgetSettings struct {
 	Ratio   float64 `json:"ratio"`
 	WindowS float64 `json:"window_s"`
@@ -110,6 +116,12 @@
 	if f.Budget.Ratio < 0 || f.Budget.Slack < 0 {
 		return parsed.FieldError("budget", "must not be negative")
 	}
+	if f.UnfinishedHeadsKB != 0 && (f.UnfinishedHeadsKB < minUnfinishedHeadsKB || f.UnfinishedHeadsKB > f.MemoryMB<<10) {
+		return parsed.FieldError("unfinished_heads_kb", fmt.Sprintf("must be 0, or from %d to memory_mb", minUnfinishedHeadsKB))
+	}
+	if f.MaxConnections < 0 || f.MaxConnections >= f.MaxDescriptors {
+		return parsed.FieldError("max_connections", "must be 0, or from 1 to below max_descriptors")
+	}
 	return nil
 }
 
--- a/internal/daemon/edge/settings_test.go
+++ b/internal/daemon/edge/settings_test.go
@@ -29,6 +29,10 @@
 		{"a bad seed", `127.0.0.1:7`, "x", "line 5: field seed_addresses[0]"},
 		{"no memory", `"memory_mb": 284`, `"memory_mb": 0`, "line 6: field memory_mb"},
 		{"a negative ratio", `"ratio": 0.2`, `"ratio": -1`, "field budget"},
+		{"too little for unfinished heads", `"grace_s"`, `"unfinished_heads_kb": 63, "grace_s"`, "line 7: field unfinished_heads_kb"},
+		{"more for unfinished heads than there is memory", `"grace_s"`, `"unfinished_heads_kb": 290817, "grace_s"`, "field unfinished_heads_kb"},
+		{"as many connections as descriptors", `"grace_s"`, `"max_connections": 4100, "grace_s"`, "field max_connections"},
+		{"limits of connections", `"grace_s"`, `"unfinished_heads_kb": 64, "max_connections": 4099, "grace_s"`, ""},
 		{"an unknown field", `"grace_s"`, `"grace"`, "grace"},
 		{"no JSON", `{`, `[`, "line"},
 	}
