Bound heads and connections of the product's own interface, and describe the limits

Each connection of a caller or operator could hold limits.header_bytes, and their number was not bounded. Both addresses now share a guard with limits.unfinished_heads_bytes (32 MiB) and limits.connections (16,384). Without TLS it also refuses heads above limits.header_bytes exactly; net/http allows 4 KB more. Below TLS it sees encrypted bytes only, which count twice, and the limits of net/http hold for one head. The port for peers is not bounded by it.

The tests of daemon/run and daemon/settings pass. The interface was not run under hostile clients.

--- a/internal/daemon/run/daemon.go
+++ b/internal/daemon/run/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"waxwingplank/internal/core/claim"
+	"waxwingplank/internal/core/connection"
 	"waxwingplank/internal/core/document"
 	"waxwingplank/internal/core/membership"
 	"waxwingplank/internal/core/quarantine"
@@ -86,6 +87,7 @@
 	caller             *caller.Handler
 	callers, operators *http.Server
 	peer               *host.Server
+	guard              *tcp.Guard
 	// callersListener is the listener of callers below TLS; callersDrained is closed once it accepts no more connections.
 	callersListener tcp.Listener
 	callersDrained  <-chan struct{}
@@ -122,6 +124,10 @@
 	if d.tokens, err = credentials.NewTokens(credentials.TokensConfig{File: cfg.Settings.TokensFile(), Now: time.Now}); err != nil {
 		return nil, eris.Wrap(err, "run.New")
 	}
+	// The timeouts of the servers apply, since they do not change.
+	d.guard = tcp.NewGuard(connection.Limits{
+		HeadBytes: int64(d.settings.MaxHeaderBytes()), HeadMemoryBytes: d.settings.MaxUnfinishedHeadsBytes(), Connections: d.settings.MaxConnections(),
+	})
 	d.buildClients()
 	if err := d.buildParts(binary.BigEndian.Uint64(salt[:])); err != nil {
 		return nil, eris.Wrap(err, "run.New")
@@ -229,6 +235,7 @@
 	}
 	for _, part := range []func(context.Context){
 		d.dispatcher.Run, d.claims.Run, d.loop.Serve, d.fleet.Run, d.leases.Run, d.orders.Run, d.sweepClaims, d.reportLoad, d.pauses.run,
+		func(ctx context.Context) { d.guard.Run(ctx, d.journal.Log()) },
 	} {
 		d.tasks.Go(func() { part(parts) })
 	}
@@ -247,13 +254,13 @@
 }
 
 func (d *Daemon) listen(ctx context.Context) error {
-	callers, drainable, err := d.listenTLS(ctx, d.settings.CallerAddress())
+	callers, drainable, err := d.listenTLS(ctx, d.settings.CallerAddress(), false)
 	if err != nil {
 		return err
 	}
 	d.callersListener = drainable
 	d.callers, d.callersDrained = d.serve(callers, d.closeWhileDraining(d.caller))
-	operators, _, err := d.listenTLS(ctx, d.settings.OperatorAddress())
+	operators, _, err := d.listenTLS(ctx, d.settings.OperatorAddress(), true)
 	if err != nil {
 		return err
 	}
@@ -278,7 +285,7 @@
 	ended := make(chan struct{})
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: d.settings.MaxHeaderBytes(),
+		MaxHeaderBytes: d.settings.MaxHeaderBytes(), ConnState: d.guard.ConnState,
 	}
 	d.tasks.Go(func() {
 		defer close(ended)
--- a/internal/daemon/run/metrics.go
+++ b/internal/daemon/run/metrics.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"time"
 
+	"waxwingplank/internal/core/connection"
 	"waxwingplank/internal/core/table"
 )
 
@@ -34,16 +35,21 @@
 	HostsLive           int               `json:"hosts_live"`
 	Generations         map[string]uint64 `json:"document_generations"`
 	InForce             map[string]uint64 `json:"document_generations_in_force"`
+	// Connections of callers and operators.
+	ConnectionsOpen      int                        `json:"connections_open"`
+	UnfinishedHeadsBytes int64                      `json:"unfinished_heads_bytes"`
+	ConnectionsClosed    map[connection.Cause]int64 `json:"connections_closed"`
 }
 
 func (d *Daemon) metrics() metrics {
-	c := d.runner.Counters()
+	c, connections := d.runner.Counters(), d.guard.Stats()
 	m := metrics{
 		Host: d.settings.Host(), Draining: d.draining.Load(),
 		StreamsInFlight: d.inflight.streams.Load(), CallsInFlight: d.inflight.calls.Load(),
 		TokensDelivered: c.Delivered, TokensDropped: c.Dropped, AttemptFailures: c.Failures,
 		AttemptIdleTimeouts: c.IdleTimeouts, EndpointCrashes: c.Crashes, StreamsRefused: c.Refused,
 		HostsLive: len(d.members.Live()), Generations: map[string]uint64{}, InForce: map[string]uint64{},
+		ConnectionsOpen: connections.Open, UnfinishedHeadsBytes: connections.HeadMemoryBytes, ConnectionsClosed: connections.Closed,
 	}
 	for _, doc := range d.members.Documents() {
 		m.Generations[string(doc.Service())] = doc.Generation()
--- a/internal/daemon/run/tls.go
+++ b/internal/daemon/run/tls.go
@@ -36,21 +36,23 @@
 	return credentials.Server(files)
 }
 
-// listenTLS opens a listener for callers or operators. It uses TLS with the callers' certificate if one is configured.
-// The second result is the listener below TLS, which can be drained.
-func (d *Daemon) listenTLS(ctx context.Context, address string) (net.Listener, tcp.Listener, error) {
+// listenTLS opens a listener for callers or operators, whose connections the guard limits. It uses TLS with the callers' certificate
+// if one is configured. Connections to a reserved listener are accepted even if the requests of callers use all others. The second
+// result is the listener below TLS, which can be drained.
+func (d *Daemon) listenTLS(ctx context.Context, address string, reserved bool) (net.Listener, tcp.Listener, error) {
 	listener, err := listenTCP(ctx, address)
 	if err != nil {
 		return nil, listener, eris.Wrap(err, "run.listenTLS")
 	}
 	t, ok := d.settings.TLS()
+	guarded := d.guard.Listener(tcp.ListenerConfig{Listener: listener, TLS: ok, Reserved: reserved})
 	if !ok {
-		return listener, listener, nil
+		return guarded, listener, nil
 	}
 	cfg, err := credentials.Server(credentials.TLSConfig{CertFile: t.CallerCert(), KeyFile: t.CallerKey(), Now: time.Now})
 	if err != nil {
 		_ = listener.Close()
 		return nil, listener, eris.Wrap(err, "run.listenTLS")
 	}
-	return tls.NewListener(listener, cfg), listener, nil
+	return tls.NewListener(guarded, cfg), listener, nil
 }
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -50,6 +50,9 @@
 	MaxRequestMs   int64 `json:"max_request_ms"`
 	DrainTimeoutMs int64 `json:"drain_timeout_ms"`
 	AnswerBytes    int64 `json:"answer_bytes"`
+	// UnfinishedHeadsBytes bounds the memory of all request heads that are being read, Connections the open connections.
+	UnfinishedHeadsBytes int64 `json:"unfinished_heads_bytes"`
+	Connections          int   `json:"connections"`
 }
 
 type sealKeyFile struct {
@@ -149,6 +152,10 @@
 			MaxRequestMs:   300_000,
 			DrainTimeoutMs: 330_000,
 			AnswerBytes:    1 << 20,
+			// 1,000 heads of the largest default size at once.
+			UnfinishedHeadsBytes: 32 << 20,
+			// Four for each of the default number of streams, since callers keep connections.
+			Connections: 16_384,
 		},
 	}
 }
@@ -199,6 +206,8 @@
 		{"limits.max_request_ms", f.Limits.MaxRequestMs, 100, day},
 		{"limits.drain_timeout_ms", f.Limits.DrainTimeoutMs, 100, day},
 		{"limits.answer_bytes", f.Limits.AnswerBytes, 1 << 10, 64 << 20},
+		{"limits.unfinished_heads_bytes", f.Limits.UnfinishedHeadsBytes, 64 << 10, 1 << 30},
+		{"limits.connections", int64(f.Limits.Connections), 16, 1 << 20},
 	}
 	for _, b := range bounds {
 		if b.value < b.min || b.value > b.max {
@@ -288,6 +297,12 @@
 // MaxHeaderBytes returns the maximum size of the headers of a request.
 func (s Settings) MaxHeaderBytes() int { return s.f.Limits.HeaderBytes }
 
+// MaxUnfinishedHeadsBytes returns the maximum memory of all request heads that are being read.
+func (s Settings) MaxUnfinishedHeadsBytes() int64 { return s.f.Limits.UnfinishedHeadsBytes }
+
+// MaxConnections returns the maximum number of open connections of callers and operators.
+func (s Settings) MaxConnections() int { return s.f.Limits.Connections }
+
 // MaxStreams returns the maximum number of streams that the host serves at the same time.
 func (s Settings) MaxStreams() int { return s.f.Limits.Streams }
 
