--- a/internal/core/quarantine/blame.go
+++ b/internal/core/quarantine/blame.go
@@ -25,9 +25,9 @@
 	// groups are the refused parts, requests the refused requests.
 	groups   []partGroup
 	requests map[Fingerprint]bool
-	// doubtful holds the requests and parts that were in crashes together with others, so that the next crash has to tell which of
+	// undecided holds the requests and parts that were in crashes together with others, so that the next crash has to tell which of
 	// them cause it.
-	doubtful map[Fingerprint]bool
+	undecided map[Fingerprint]bool
 	// explained holds the crashes that a refused request or part explains.
 	explained map[CrashID]bool
 	findings  []Finding
@@ -80,10 +80,10 @@
 	return s.blame.explained[c]
 }
 
-// isDoubtful reports whether a request, or a part of its prompt, shares its crashes with others.
-func (s *System) isDoubtful(now time.Time, f Fingerprint, parts []Fingerprint) bool {
+// isUndecided reports whether a request, or a part of its prompt, shares its crashes with others.
+func (s *System) isUndecided(now time.Time, f Fingerprint, parts []Fingerprint) bool {
 	s.updateBlame(now)
-	return s.blame.doubtful[f] || slices.ContainsFunc(parts, func(p Fingerprint) bool { return s.blame.doubtful[p] })
+	return s.blame.undecided[f] || slices.ContainsFunc(parts, func(p Fingerprint) bool { return s.blame.undecided[p] })
 }
 
 // updateBlame finds the explanations anew if marks have changed.
@@ -92,7 +92,7 @@
 		return
 	}
 	s.blameRevision++
-	s.blame = blame{requests: map[Fingerprint]bool{}, doubtful: map[Fingerprint]bool{}, explained: map[CrashID]bool{}}
+	s.blame = blame{requests: map[Fingerprint]bool{}, undecided: map[Fingerprint]bool{}, explained: map[CrashID]bool{}}
 	s.parts.changed = false
 	suspects := append(s.suspectRequests(now), s.suspectParts(now)...)
 	for {
@@ -214,7 +214,7 @@
 	default:
 		outcome = Undecided
 		for _, x := range append(t.requests, t.parts...) {
-			s.blame.doubtful[x.fingerprint] = true
+			s.blame.undecided[x.fingerprint] = true
 		}
 	}
 	s.blame.findings = append(s.blame.findings, Finding{
--- a/internal/core/quarantine/system.go
+++ b/internal/core/quarantine/system.go
@@ -83,7 +83,7 @@
 	parts     *partTable
 	// suspected holds the requests that have enough marks to be refused.
 	suspected map[Fingerprint]bool
-	// trials holds the runs of doubtful requests that have not run for some time yet.
+	// trials holds the runs of undecided requests that have not run for some time yet.
 	trials map[table.StreamID]bool
 	blame  blame
 	// blameRevision counts the updates of blame.
@@ -204,7 +204,7 @@
 	if g := s.refusing(now, parts); g != nil {
 		return Verdict{ruling: Refuse, until: g.until, crashes: g.crashes, recent: s.recent(now, g.until)}
 	}
-	v := Verdict{ruling: Clear, waits: len(s.trials) > 0 && s.isDoubtful(now, f, parts)}
+	v := Verdict{ruling: Clear, waits: len(s.trials) > 0 && s.isUndecided(now, f, parts)}
 	r := s.requests[f]
 	if r == nil {
 		return v
@@ -260,7 +260,7 @@
 		r.instance = NewCrashID(e.endpoints[0], e.incarnation)
 	}
 	s.streams[e.stream] = r
-	if s.isDoubtful(now, e.fingerprint, e.parts) {
+	if s.isUndecided(now, e.fingerprint, e.parts) {
 		s.trials[e.stream] = true
 	}
 	for _, id := range e.endpoints {
