--- a/review/.rig-2/main.go
+++ b/review/.rig-2/main.go
@@ -27,6 +27,7 @@
 // bench is what all cases share.
 type bench struct {
 	trouble bool
+	ctx     context.Context
 	begun   time.Time
 	store   *standin.Store
 	address string
