--- a/review/.rig-2/poison.go
+++ b/review/.rig-2/poison.go
@@ -160,10 +160,10 @@
 			}
 		}
 	}
-	// come lets three clients of the same tenant, who hold the same request, send it.
+	// come lets four clients of the same tenant, who hold the same request, send it.
 	come := func(label string) {
 		var clients sync.WaitGroup
-		for n := range 3 {
+		for n := range 4 {
 			clients.Go(func() { sendAndRepeat(fmt.Sprintf("%s-%d", label, n)) })
 		}
 		clients.Wait()
