--- a/review/.rig-2/hosts.go
+++ b/review/.rig-2/hosts.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -34,17 +33,25 @@
 	began time.Time
 }
 
-// freeAddresses returns loopback addresses on which nothing listens now. Their ports are below those that the system gives to
-// connections, so that none is taken before the hosts listen there.
+// freePorts are the ports of freeAddresses: a block for each process, so that cases that run beside each other don't meet. They are
+// below those that the system gives to connections, so that none is taken before the hosts listen there.
+var freePorts = struct {
+	sync.Mutex
+	next int
+}{next: 12000 + os.Getpid()%200*100}
+
+// freeAddresses returns loopback addresses on which nothing listens now, and never the same one twice.
 func freeAddresses(n int) []string {
-	const first, ports = 12000, 20000
+	freePorts.Lock()
+	defer freePorts.Unlock()
 	var out []string
 	for len(out) < n {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(ports)))
+		freePorts.next++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", freePorts.next))
 		if err != nil {
 			continue
 		}
-		defer func() { _ = l.Close() }()
+		_ = l.Close()
 		out = append(out, l.Addr().String())
 	}
 	return out
