--- a/review/.rig-2/ending.go
+++ b/review/.rig-2/ending.go
@@ -103,6 +103,7 @@
 	p := &process{id: id, cmd: exec.Command(self, "-worker", id, "-address", address)}
 	p.cmd.Stderr = os.Stderr
 	check(p.cmd.Start())
+	b.processes = append(b.processes, p)
 	for range 100 {
 		if c, err := net.Dial("tcp", address); err == nil {
 			_ = c.Close()
--- a/review/.rig-2/main.go
+++ b/review/.rig-2/main.go
@@ -10,9 +10,11 @@
 	"fmt"
 	"net/http/httptest"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"waxwingplank/platform/standin"
@@ -32,8 +34,10 @@
 	store   *standin.Store
 	address string
 	hosts   []*host
-	dir     string
-	binary  string
+	// processes are the workers that run as processes of their own.
+	processes []*process
+	dir       string
+	binary    string
 
 	mu     sync.Mutex
 	record *os.File
@@ -98,6 +102,19 @@
 			h.kill()
 		}
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		for _, h := range b.hosts {
+			h.kill()
+		}
+		for _, p := range b.processes {
+			_ = p.cmd.Process.Kill() // it may have ended
+		}
+		_ = os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	ctx, cancel := context.WithTimeout(context.Background(), playTime)
 	defer cancel()
 	if f(ctx, b) {
