Refuse responses with a status below 100 on the platform's path

Callers saw: a worker in trouble answered with status 000 and the text of a whole 200 answer behind that head, and the caller got that text as its answer; on a connection that stayed open it waited for the whole timeout of its route and got 504.

Cause: net/http reads any three digits as a status, also "+20", and http1.conn.readHead took all statuses below 200 for informational heads, after which the answer follows.

http1.CheckHead now decides whether a head is that of a response, informational ones included: not with a status below 100, nor with a 101, which was refused in a place of its own before.

TestDo of http1 with such an answer: the caller got it before.

--- a/internal/daemon/edge/metrics.go
+++ b/internal/daemon/edge/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"waxwingplank/internal/core/connection"
+	"waxwingplank/internal/endpoint/http1"
 )
 
 // writeMetrics serves the counters of calls, this host's role and the ages of its lists.
@@ -50,6 +51,10 @@
 	for _, cause := range connection.Causes() {
 		gauges = append(gauges, gauge{fmt.Sprintf("waxwingplank_connections_closed_total{cause=%q}", cause), stats.Closed[cause]})
 	}
+	counts := http1.Malformed()
+	for _, defect := range http1.Defects() {
+		gauges = append(gauges, gauge{fmt.Sprintf("waxwingplank_malformed_responses_total{defect=%q}", defect), counts[defect]})
+	}
 	for _, g := range gauges {
 		if _, err := fmt.Fprintf(w, "%s %d\n", g.name, g.value); err != nil {
 			return eris.Wrap(err, "edge.Daemon write metrics")
--- /dev/null
+++ b/internal/endpoint/http1/check.go
@@ -0,0 +1,60 @@
+package http1
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+)
+
+// Defect names what makes a response malformed.
+type Defect string
+
+// The defects.
+const (
+	// InvalidStatus is a status below 100, or one that switches to a protocol that was not asked for.
+	InvalidStatus Defect = "status"
+)
+
+// Defects returns all defects.
+func Defects() []Defect { return []Defect{InvalidStatus} }
+
+// MalformedError is the error of bytes that net/http reads as a response although they are none.
+type MalformedError struct {
+	defect Defect
+	detail string
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string { return "http1: malformed response: " + e.detail }
+
+// Defect returns what is wrong.
+func (e *MalformedError) Defect() Defect { return e.defect }
+
+// malformed counts malformed responses by their defect.
+var malformed expvar.Map
+
+// Malformed returns how many malformed responses this process has received, by defect.
+func Malformed() map[Defect]int64 {
+	counts := map[Defect]int64{}
+	for _, d := range Defects() {
+		if n, ok := malformed.Get(string(d)).(*expvar.Int); ok {
+			counts[d] = n.Value()
+		}
+	}
+	return counts
+}
+
+func newMalformedError(d Defect, format string, args ...any) error {
+	malformed.Add(string(d), 1)
+	return &MalformedError{defect: d, detail: fmt.Sprintf(format, args...)}
+}
+
+// CheckHead returns a *MalformedError unless the head, which may be that of an informational response, is valid HTTP/1.1. The endpoint
+// may have run the request, and what else its connection delivers belongs to no request.
+func CheckHead(status int) error {
+	// net/http reads any three digits as a status, and some numbers with a sign.
+	if status < http.StatusContinue || status == http.StatusSwitchingProtocols {
+		return newMalformedError(InvalidStatus, "status %03d", status)
+	}
+	return nil
+}
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -109,11 +109,10 @@
 }
 
 var (
-	errUnrelated          = errors.New("http1: responses belong to other requests")
-	errUnidentified       = errors.New("http1: response on a connection in use again does not say to which request it belongs")
-	errInformational      = errors.New("http1: too many informational responses")
-	errHeadTooLong        = errors.New("http1: head of the response is too long")
-	errSwitchingProtocols = errors.New("http1: unexpected response 101 Switching Protocols")
+	errUnrelated     = errors.New("http1: responses belong to other requests")
+	errUnidentified  = errors.New("http1: response on a connection in use again does not say to which request it belongs")
+	errInformational = errors.New("http1: too many informational responses")
+	errHeadTooLong   = errors.New("http1: head of the response is too long")
 )
 
 // Pool keeps idle connections to endpoints for reuse.
@@ -437,13 +436,14 @@
 	defer func() { c.headLeft = -1 }()
 	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(c.reader, request)
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, err
-		case resp.StatusCode >= http.StatusOK:
+		}
+		if err := CheckHead(resp.StatusCode); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
-		case resp.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errSwitchingProtocols
 		}
 	}
 	return nil, errInformational
--- a/internal/endpoint/http1/pool_test.go
+++ b/internal/endpoint/http1/pool_test.go
@@ -104,6 +104,7 @@
 		{"only foreign answers", []string{responseText("8", "a") + responseText("8", "a") + responseText("8", "a"), responseText("1", "b"), responseText("2", "c")}, []string{"error", "b", "c"}, 2},
 		{"no answer", []string{"", responseText("1", "b"), responseText("2", "c")}, []string{"error", "b", "c"}, 2},
 		{"not HTTP", []string{"nonsense\r\n\r\n", responseText("1", "b"), responseText("2", "c")}, []string{"error", "b", "c"}, 2},
+		{"a status below 100 before an answer", []string{"HTTP/1.1 000 Broken\r\n\r\n" + responseText("0", "a"), responseText("1", "b"), responseText("2", "c")}, []string{"error", "b", "c"}, 2},
 		{"close is said", []string{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\na", responseText("1", "b"), responseText("2", "c")}, []string{"a", "b", "c"}, 2},
 		{"a response without id on a new connection", []string{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", responseText("1", "b"), responseText("2", "c")}, []string{"a", "b", "c"}, 1},
 		{"a late copy without id when the next request is sent", []string{responseText("0", "a"), "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na" + responseText("1", "b"), responseText("2", "c")}, []string{"a", "error", "c"}, 2},
