Refuse responses with a blank in a field name on the platform's path

Callers saw: an answer in whose head a field name had a blank reached them without that line. With the blank before the colon of Content-Length or Transfer-Encoding they got a body that was not the worker's: what came until the connection ended, chunk sizes included, also under a 500 or 503. A 503 with such a head that said "not executed" was believed.

Cause: net/http keeps a field whose name has a blank (and only that, of all bytes that a name must not have) under its name as written, so that a length or a transfer encoding is not seen as one; http1 took what net/http accepts for valid.

http1.CheckHead refuses such a head, as well that of an informational response or of one to another request. The line says which name it was.

Sound answers with all characters of a token, names in lower case, empty, folded, 8-bit and odd values, and bare line feeds are passed on as before. FuzzReadHead checks the names; 2,001,158 runs in 20 s found nothing.

--- a/internal/endpoint/http1/check.go
+++ b/internal/endpoint/http1/check.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // Defect names what makes a response malformed.
@@ -13,10 +14,12 @@
 const (
 	// InvalidStatus is a status below 100, or one that switches to a protocol that was not asked for.
 	InvalidStatus Defect = "status"
+	// InvalidFieldName is a header field whose name contains a blank.
+	InvalidFieldName Defect = "field_name"
 )
 
 // Defects returns all defects.
-func Defects() []Defect { return []Defect{InvalidStatus} }
+func Defects() []Defect { return []Defect{InvalidStatus, InvalidFieldName} }
 
 // MalformedError is the error of bytes that net/http reads as a response although they are none.
 type MalformedError struct {
@@ -51,10 +54,21 @@
 
 // CheckHead returns a *MalformedError unless the head, which may be that of an informational response, is valid HTTP/1.1. The endpoint
 // may have run the request, and what else its connection delivers belongs to no request.
-func CheckHead(status int) error {
+func CheckHead(status int, header http.Header) error {
 	// net/http reads any three digits as a status, and some numbers with a sign.
 	if status < http.StatusContinue || status == http.StatusSwitchingProtocols {
 		return newMalformedError(InvalidStatus, "status %03d", status)
 	}
+	return checkFieldNames(header)
+}
+
+// checkFieldNames looks for blanks only, since net/http itself rejects all other bytes that a name must not have. It keeps a
+// Content-Length or Transfer-Encoding with a blank before its colon as a field of its own and ignores what it says.
+func checkFieldNames(header http.Header) error {
+	for name := range header {
+		if strings.IndexByte(name, ' ') >= 0 {
+			return newMalformedError(InvalidFieldName, "field name %.64q", name)
+		}
+	}
 	return nil
 }
--- a/internal/endpoint/http1/endless_test.go
+++ b/internal/endpoint/http1/endless_test.go
@@ -113,7 +113,7 @@
 }
 
 // Checks that no bytes stop the reader of heads, make it read more than a head may have, or give a response that does not
-// end the request.
+// end the request or has a field name that is no token.
 func FuzzReadHead(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"))
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\n\r\nrest"))
@@ -121,6 +121,8 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=" + strings.Repeat("y", 100) + "\r\nhello\r\n0\r\nA: b\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"))
 	f.Add([]byte(" HTTP/1.1 200\r\n:\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 000 Broken\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\na"))
 	f.Fuzz(func(t *testing.T, received []byte) {
 		nc := &readOnly{left: received}
 		c := &conn{Conn: nc, headLeft: -1}
@@ -135,6 +137,11 @@
 		if resp.StatusCode < http.StatusOK {
 			t.Fatalf("status %d", resp.StatusCode)
 		}
+		for name := range resp.Header {
+			if strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f || strings.ContainsRune("\"(),/:;<=>?@[\\]{}", r) }) {
+				t.Fatalf("field name %q", name)
+			}
+		}
 		body, err := io.ReadAll(resp.Body)
 		if err == nil && resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
 			t.Fatalf("a body of %d bytes looks complete, its length is %d", len(body), resp.ContentLength)
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -439,7 +439,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := CheckHead(resp.StatusCode); err != nil {
+		if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
