Count the responses that net/http refuses as malformed, too

Operators saw a line "attempt failed" for an answer that net/http could not read, but no counter rose, so that a worker that sends such answers could be found only by reading logs. Callers were not affected.

Cause: errors of http.ReadResponse were passed on like those of the connection. They are now a MalformedError with the defect "unreadable" unless the connection failed or ended.

Evidence: TestMalformedAnswers, 17 answers (control bytes and other bytes in names, statuses that are no number, two lengths, a text that is no head) to 4 kinds of routes: 68 calls were not counted before, now all are; what callers get is unchanged.

--- a/internal/endpoint/http1/check.go
+++ b/internal/endpoint/http1/check.go
@@ -1,8 +1,11 @@
 package http1
 
 import (
+	"errors"
 	"expvar"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 )
@@ -16,19 +19,24 @@
 	InvalidStatus Defect = "status"
 	// InvalidFieldName is a header field whose name contains a blank.
 	InvalidFieldName Defect = "field_name"
+	// Unreadable is what net/http does not read as a response.
+	Unreadable Defect = "unreadable"
 )
 
 // Defects returns all defects.
-func Defects() []Defect { return []Defect{InvalidStatus, InvalidFieldName} }
+func Defects() []Defect { return []Defect{InvalidStatus, InvalidFieldName, Unreadable} }
 
-// MalformedError is the error of bytes that net/http reads as a response although they are none.
+// MalformedError is the error of received bytes that are no response.
 type MalformedError struct {
 	defect Defect
-	detail string
+	err    error
 }
 
 // Error implements error.
-func (e *MalformedError) Error() string { return "http1: malformed response: " + e.detail }
+func (e *MalformedError) Error() string { return "http1: malformed response: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.err }
 
 // Defect returns what is wrong.
 func (e *MalformedError) Defect() Defect { return e.defect }
@@ -47,9 +55,18 @@
 	return counts
 }
 
-func newMalformedError(d Defect, format string, args ...any) error {
+func newMalformedError(d Defect, err error) error {
 	malformed.Add(string(d), 1)
-	return &MalformedError{defect: d, detail: fmt.Sprintf(format, args...)}
+	return &MalformedError{defect: d, err: err}
+}
+
+// checkRead returns a *MalformedError for an error of net/http's reader, unless the connection failed or ended.
+func checkRead(err error) error {
+	var failed net.Error
+	if errors.As(err, &failed) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	return newMalformedError(Unreadable, err)
 }
 
 // CheckHead returns a *MalformedError unless the head, which may be that of an informational response, is valid HTTP/1.1. The endpoint
@@ -57,7 +74,7 @@
 func CheckHead(status int, header http.Header) error {
 	// net/http reads any three digits as a status, and some numbers with a sign.
 	if status < http.StatusContinue || status == http.StatusSwitchingProtocols {
-		return newMalformedError(InvalidStatus, "status %03d", status)
+		return newMalformedError(InvalidStatus, fmt.Errorf("status %03d", status))
 	}
 	return checkFieldNames(header)
 }
@@ -67,7 +84,7 @@
 func checkFieldNames(header http.Header) error {
 	for name := range header {
 		if strings.IndexByte(name, ' ') >= 0 {
-			return newMalformedError(InvalidFieldName, "field name %.64q", name)
+			return newMalformedError(InvalidFieldName, fmt.Errorf("field name %.64q", name))
 		}
 	}
 	return nil
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -437,7 +437,7 @@
 	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, err
+			return nil, checkRead(err)
 		}
 		if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 			return nil, err
