Refuse malformed responses of the stores and never use their connections again

Seen by hosts: an answer of a store with status 000 to 099, or with a blank in a field name, counted as what its body said: a write as done, a list as the newest one, a 503 as "nothing was done", a conflict as the object's state.

--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -93,7 +93,9 @@
 type Error struct {
 	// Sent is true if a byte of the request may have reached the endpoint.
 	Sent bool
-	err  error
+	// stale is true if the connection had been idle before and ended without having delivered anything.
+	stale bool
+	err   error
 }
 
 // Error implements error.
@@ -163,6 +165,8 @@
 	address string
 	// reused is set once a request was sent on the connection.
 	reused bool
+	// received is set once something has arrived since the last request was sent.
+	received bool
 	// headLeft is how many bytes may still be read for the head of a response; it is negative outside of heads.
 	headLeft int
 	reader   *bufio.Reader
@@ -181,6 +185,19 @@
 	})
 }
 
+// DoRepeatable is Do for a request without a body that may be sent twice. It is sent again, on a new connection, if the endpoint closed
+// an idle connection at the moment at which the request was sent on it.
+func (p *Pool) DoRepeatable(ctx context.Context, address string, req *Request) (*Response, error) {
+	resp, err := p.Do(ctx, address, req)
+	var failed *Error
+	if errors.As(err, &failed) && failed.stale && ctx.Err() == nil {
+		again := *req
+		again.Fresh = true
+		return p.Do(ctx, address, &again)
+	}
+	return resp, err
+}
+
 // Do sends a request and returns the response once its headers have been read. If ctx ends, also while the response's body
 // is read, the connection is closed. An error has the type *Error.
 func (p *Pool) Do(ctx context.Context, address string, req *Request) (*Response, error) {
@@ -190,6 +207,8 @@
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	sent := make(chan error, 1)
+	reused := c.reused
+	c.received = false
 	if req.Length < 0 || req.Length > bufferSize*16 {
 		// The endpoint may respond to a long body before it has read all of it.
 		go func() {
@@ -210,14 +229,14 @@
 		if err != nil {
 			stop()
 			c.close()
-			return nil, &Error{Sent: true, err: err}
+			return nil, &Error{Sent: true, stale: reused, err: err}
 		}
 	}
 	resp, err := c.read(req, p.cfg.Matches) //nolint:bodyclose // the body is closed by the caller, through body
 	if err != nil {
 		stop()
 		c.close()
-		return nil, &Error{Sent: true, err: err}
+		return nil, &Error{Sent: true, stale: reused && !c.received, err: err}
 	}
 	b := &body{ReadCloser: resp.Body, pool: p, conn: c, stop: stop, sent: sent, idleTimeout: p.idleTimeoutAfter(resp)}
 	var limited bool
@@ -311,6 +330,7 @@
 		p = p[:c.headLeft]
 	}
 	n, err := c.Read(p)
+	c.received = c.received || n > 0
 	if c.headLeft > 0 {
 		c.headLeft -= n
 	}
--- a/internal/endpoint/http1/pool_test.go
+++ b/internal/endpoint/http1/pool_test.go
@@ -137,6 +137,42 @@
 	}
 }
 
+// Guards against a read that fails because the endpoint closes an idle connection just then, and against any other request being sent
+// twice.
+func TestDoRepeatable(t *testing.T) {
+	cases := []struct {
+		name      string
+		responses []string
+		// want lists the bodies that two requests receive; sends is the number of requests that arrive.
+		want  []string
+		sends int
+	}{
+		{"an idle connection ends", []string{responseText("0", "a"), "", responseText("1", "b")}, []string{"a", "b"}, 3},
+		{"the new connection ends, too", []string{responseText("0", "a"), "", ""}, []string{"a", "error"}, 3},
+		{"a new connection ends", []string{"", responseText("1", "b")}, []string{"error", "b"}, 2},
+		{"an idle connection delivers no response", []string{responseText("0", "a"), "HTTP/1.1 000 Broken\r\n\r\n"}, []string{"a", "error"}, 2},
+		{"an idle connection is kept", []string{responseText("0", "a"), responseText("1", "b")}, []string{"a", "b"}, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScriptedServer(t, c.responses...)
+			pool := New(Config{Matches: matches})
+			for i, want := range c.want {
+				got := "error"
+				resp, err := pool.DoRepeatable(context.Background(), s.listener.Addr().String(), get(string(rune('0'+i))))
+				if err == nil {
+					data, err := io.ReadAll(resp.Body)
+					is.NoErr(err)
+					got = string(data)
+				}
+				is.Equal(got, want)
+			}
+			is.Equal(len(s.requests), c.sends)
+		})
+	}
+}
+
 // Guards against a request being reported as possibly sent although no connection was established.
 func TestDoUnreached(t *testing.T) {
 	is := is.New(t)
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -7,14 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
+
+	"waxwingplank/internal/endpoint/http1"
 )
 
 const (
@@ -39,9 +38,9 @@
 
 // Client calls the object API.
 type Client struct {
-	base    string
+	address string
 	timeout time.Duration
-	http    *http.Client
+	pool    *http1.Pool
 }
 
 // New returns a client.
@@ -49,23 +48,15 @@
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = defaultTimeout
 	}
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: cfg.Timeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     time.Minute,
-	}
 	return &Client{
-		base:    "http://" + cfg.Address,
+		address: cfg.Address,
 		timeout: cfg.Timeout,
-		http: &http.Client{
-			Transport:     transport,
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
+		pool:    http1.New(http1.Config{DialTimeout: cfg.Timeout, IdleTimeout: time.Minute, MaxIdle: maxIdleConnections}),
 	}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.pool.Close(c.address) }
 
 // Get reads one object.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
@@ -136,35 +127,30 @@
 	err    error
 }
 
-// call sends one request and reads the response. The transport of net/http repeats a GET by itself. It
-// repeats a PUT or DELETE only if nothing of it was written to the connection, because the requests have
-// no Idempotency-Key header.
+// call sends one request and reads the response. Only a read may be sent twice.
 func (c *Client) call(ctx context.Context, k call) callResult {
 	r := callResult{call: k}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+k.pollWait)
 	defer cancel()
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, bytes.NewReader(k.body))
-	if err != nil {
-		r.err = r.newError(ErrRejected, err)
-		return r
-	}
+	req := &http1.Request{Method: k.method, Target: k.path, Host: c.address, Header: http.Header{}}
+	send := c.pool.DoRepeatable
 	if k.write {
 		setCondition(req.Header, k)
+		send = c.pool.Do
+	}
+	if len(k.body) > 0 {
+		req.Body, req.Length = bytes.NewReader(k.body), int64(len(k.body))
 	}
-	res, err := c.http.Do(req)
+	res, err := send(ctx, c.address, req)
 	if err != nil {
 		c.closeIdleAfterTimeout(ctx)
-		r.err = r.newError(r.kindWithoutResponse(connected.Load()), err)
+		r.err = r.newError(r.kindWithoutResponse(http1.Sent(err)), err)
 		return r
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := readBounded(res.Body, k.maxBytes)
 	r.header, r.body = res.Header, body
-	if res.StatusCode >= http.StatusMultipleChoices {
+	if res.Status >= http.StatusMultipleChoices {
 		r.err = r.statusError(res)
 		return r
 	}
@@ -179,7 +165,7 @@
 // stalled together with the one that was used, and each of them would cost one more call its timeout.
 func (c *Client) closeIdleAfterTimeout(ctx context.Context) {
 	if ctx.Err() != nil {
-		c.http.CloseIdleConnections()
+		c.pool.Close(c.address)
 	}
 }
 
@@ -202,10 +188,10 @@
 }
 
 // statusError returns the error for a response with an error status.
-func (r *callResult) statusError(res *http.Response) error {
-	cause := fmt.Errorf("status %d", res.StatusCode)
+func (r *callResult) statusError(res *http1.Response) error {
+	cause := fmt.Errorf("status %d", res.Status)
 	e := r.newError(ErrRejected, cause)
-	switch res.StatusCode {
+	switch res.Status {
 	case http.StatusPreconditionFailed:
 		e.kind = ErrConflict
 		if v, err := parseVersion(res.Header.Get("ETag")); err == nil {
@@ -219,7 +205,7 @@
 			e.retryAfter = time.Duration(s) * time.Second
 		}
 	default:
-		if res.StatusCode >= http.StatusInternalServerError || res.StatusCode < http.StatusBadRequest {
+		if res.Status >= http.StatusInternalServerError || res.Status < http.StatusBadRequest {
 			e.kind = r.kindWithoutResponse(true)
 		}
 	}
