Refuse answers with a blank in a field name of their trailer

Callers saw: an answer in chunks whose trailer had a field name with a blank was passed on as complete, and its connection was used again, while one with a control byte there counted as broken off.

Cause: net/http reads trailers by the same rules as heads, and adds them to the response at the end of the body, after the check of the head. The body of a response in chunks now asks for the names at its end, in http1.Pool and http1.Transport, and ends with an error in place of EOF: a call that may run again gets another worker's answer, one that may not 502, a stream goes on elsewhere or is cut off. A plain call of the product's own interface no longer counts as completed then, since the status is not to be believed either.

Evidence: TestMalformedEnds, 2 such answers to 4 kinds of routes: all 8 passed them on before. With the check of the end turned off, the new cases of the contract tests failed (all 5 calls of plain, the list of hosts, and one read of the others), now none. The control byte keeps its test; chunks with extensions and a trailer are passed on as before.

--- a/internal/endpoint/http1/check.go
+++ b/internal/endpoint/http1/check.go
@@ -80,6 +80,47 @@
 	return checkFieldNames(header)
 }
 
+// checkResponse checks the head of a response, and lets the end of its body be checked when it has been read.
+func checkResponse(resp *http.Response) error {
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
+		return err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp}
+	}
+	return nil
+}
+
+// chunkedBody ends with a *MalformedError if its trailer is malformed.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+	end  error
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if b.end == nil {
+		b.end = b.checkEnd(err)
+	}
+	return n, b.end
+}
+
+// checkEnd returns the error with which the body ends. At io.EOF, net/http has added the fields of the trailer to the response.
+func (b *chunkedBody) checkEnd(err error) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	if invalid := checkFieldNames(b.resp.Trailer); invalid != nil {
+		return invalid
+	}
+	return io.EOF
+}
+
 // checkFieldNames looks for blanks only, since net/http itself rejects all other bytes that a name must not have. It keeps a
 // Content-Length or Transfer-Encoding with a blank before its colon as a field of its own and ignores what it says.
 func checkFieldNames(header http.Header) error {
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -459,7 +459,7 @@
 		if err != nil {
 			return nil, checkRead(err)
 		}
-		if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
+		if err := checkResponse(resp); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
--- a/internal/endpoint/http1/transport.go
+++ b/internal/endpoint/http1/transport.go
@@ -38,7 +38,7 @@
 		}
 		return nil, err
 	}
-	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
+	if err := checkResponse(resp); err != nil {
 		_ = resp.Body.Close() //nolint:errcheck // the connection is not used again
 		return nil, err
 	}
--- a/internal/endpoint/plain/client.go
+++ b/internal/endpoint/plain/client.go
@@ -117,7 +117,12 @@
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxBody+1))
 	if err != nil {
-		return Response{}, &Error{kind: failureKind(ctx, true, err), target: target, sent: true, status: res.StatusCode, cause: err}
+		failed := &Error{kind: failureKind(ctx, true, err), target: target, sent: true, status: res.StatusCode, cause: err}
+		if _, ok := errors.AsType[*http1.MalformedError](err); ok {
+			// The status is not to be believed either.
+			failed.status = 0
+		}
+		return Response{}, failed
 	}
 	if int64(len(body)) > c.maxBody {
 		err := fmt.Errorf("over %d bytes", c.maxBody)
