Refuse malformed answers that another host passes on

Callers of the product's own interface saw: a host that passes a request on took any status but 0 from the other host. During an upgrade that one may be of a version before these checks and hand on a status under 100, at which net/http's server panics and the caller's connection ends; with 103 the caller would get an empty 200.

It asks http1.CheckHead, which now also knows that a status has three digits, and wants a final status. The request may have run; why the other host's answer was refused gets a line in the log (pass_on_failed), where the error was dropped before.

Evidence: TestForwardMalformed, 6 heads that were all passed on before, now none; a sound one (999, a name in lower case, an empty value) is.

--- a/internal/daemon/run/peers.go
+++ b/internal/daemon/run/peers.go
@@ -13,6 +13,7 @@
 	"waxwingplank/internal/core/outcome"
 	"waxwingplank/internal/core/quarantine"
 	"waxwingplank/internal/core/table"
+	"waxwingplank/internal/daemon/journal"
 	"waxwingplank/internal/daemon/members"
 	"waxwingplank/internal/ingress/caller"
 	"waxwingplank/internal/peer/host"
@@ -152,11 +153,13 @@
 	if err != nil {
 		var failed *host.Error
 		sent := !errors.As(err, &failed) || failed.MayHaveSent()
+		d.journalPassOnFailed(req, to, err)
 		return false, d.notForwarded(req, to, sent)
 	}
 	defer response.Close()
 	started, err := copyAnswer(w, response)
 	if err != nil && !started {
+		d.journalPassOnFailed(req, to, err)
 		return false, d.notForwarded(req, to, true)
 	}
 	return started, err
@@ -199,6 +202,10 @@
 	}
 }
 
+func (d *Daemon) journalPassOnFailed(req caller.Request, to table.HostID, err error) {
+	d.journal.Decision(req.ID, "pass_on_failed", journal.Fields{"to": string(to), "error": err.Error()})
+}
+
 func (d *Daemon) notForwarded(req caller.Request, to table.HostID, sent bool) error {
 	return outcome.NewRefusal(outcome.RefusalConfig{
 		Code: outcome.NoCapacity, Message: "host " + string(to) + ", which should serve the request, could not be reached",
--- a/internal/endpoint/http1/check.go
+++ b/internal/endpoint/http1/check.go
@@ -10,12 +10,15 @@
 	"strings"
 )
 
+// maxStatus is the highest status of three digits. Those from 600 are passed on as failures.
+const maxStatus = 999
+
 // Defect names what makes a response malformed.
 type Defect string
 
 // The defects.
 const (
-	// InvalidStatus is a status below 100, or one that switches to a protocol that was not asked for.
+	// InvalidStatus is a status out of 100 to 999, or one that switches to a protocol that was not asked for.
 	InvalidStatus Defect = "status"
 	// InvalidFieldName is a header field whose name contains a blank.
 	InvalidFieldName Defect = "field_name"
@@ -74,7 +77,7 @@
 // may have run the request, and what else its connection delivers belongs to no request.
 func CheckHead(status int, header http.Header) error {
 	// net/http reads any three digits as a status, and some numbers with a sign.
-	if status < http.StatusContinue || status == http.StatusSwitchingProtocols {
+	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return newMalformedError(InvalidStatus, fmt.Errorf("status %03d", status))
 	}
 	return checkFieldNames(header)
--- a/internal/peer/host/client.go
+++ b/internal/peer/host/client.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcerr"
 
+	"waxwingplank/internal/endpoint/http1"
 	"waxwingplank/internal/peer/hostpb"
 )
 
@@ -220,13 +222,29 @@
 	if err != nil {
 		return nil, r.fail(err)
 	}
-	if p.GetStatus() == 0 {
-		return nil, r.fail(errors.New("the answer has no status"))
+	if err := checkHead(p); err != nil {
+		return nil, r.fail(err)
 	}
 	r.status, r.headers = int(p.GetStatus()), p.GetHeaders()
 	return r, nil
 }
 
+// checkHead returns an error unless the first part of a response has the head of a final response.
+func checkHead(p *hostpb.ForwardPart) error {
+	header := http.Header{}
+	for _, h := range p.GetHeaders() {
+		header[h.GetName()] = nil
+	}
+	status := int(p.GetStatus())
+	if err := http1.CheckHead(status, header); err != nil {
+		return err
+	}
+	if status < http.StatusOK {
+		return fmt.Errorf("status %d is not final", status)
+	}
+	return nil
+}
+
 // Status returns the HTTP status of the response.
 func (r *ForwardResponse) Status() int { return r.status }
 
--- a/internal/peer/host/host_test.go
+++ b/internal/peer/host/host_test.go
@@ -303,6 +303,44 @@
 	}
 }
 
+// Guards against passing on the malformed response of a peer of another version: net/http's server panics at such a status.
+func TestForwardMalformed(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		header []*hostpb.Header
+		cause  string
+	}{
+		{"status 001", 1, nil, "status 001"},
+		{"status 099", 99, nil, "status 099"},
+		{"another protocol", 101, nil, "status 101"},
+		{"an informational status", 103, nil, "status 103"},
+		{"a status of four digits", 1000, nil, "status 1000"},
+		{"a blank in a field name", 200, []*hostpb.Header{{Name: "X Odd", Value: "y"}}, `"X Odd"`},
+		{"sound", 999, []*hostpb.Header{{Name: "x-odd", Value: ""}}, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			lis := listen(t)
+			serve(t, lis, &handler{forward: func(_ context.Context, s *host.Sink) error {
+				return errors.Join(s.Start(c.status, c.header), s.Write([]byte("a")))
+			}}, nil)
+			a, err := client(t, host.ClientConfig{}).Forward(t.Context(), lis.Addr().String(), &hostpb.ForwardRequest{})
+			if c.cause == "" {
+				is.NoErr(err)
+				a.Close()
+				return
+			}
+			var failed *host.Error
+			is.True(errors.As(err, &failed))
+			is.True(failed.MayHaveSent())
+			is.True(strings.Contains(err.Error(), c.cause))
+		})
+	}
+}
+
 // Guards against waiting on a forwarded response whose connection stalls halfway: it must end after about 1 s.
 func TestForwardNoticesSilence(t *testing.T) {
 	is := is.New(t)
