Do not give a recorded malformed answer to copies of a call

A registration that got an answer with a status under 100 before these checks has it in its record, which outlives an upgrade. Each copy of the call then ends with its connection, since net/http's server panics at such a status.

Cause: the record is a further place from which answers are read. It is asked like the others; the copy gets may_have_run with the reason.

--- a/internal/daemon/run/call.go
+++ b/internal/daemon/run/call.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"waxwingplank/internal/core/claim"
 	"waxwingplank/internal/core/document"
 	"waxwingplank/internal/core/outcome"
@@ -14,6 +16,7 @@
 	"waxwingplank/internal/core/table"
 	"waxwingplank/internal/daemon/dispatch"
 	"waxwingplank/internal/daemon/journal"
+	"waxwingplank/internal/endpoint/http1"
 	"waxwingplank/internal/endpoint/plain"
 	"waxwingplank/internal/ingress/caller"
 )
@@ -126,23 +129,35 @@
 }
 
 func (d *Daemon) claimResponse(req caller.CallRequest, result claim.Result) (caller.CallResponse, error) {
-	if result.Status() == claim.Answered && result.Answer().Complete() {
-		a := result.Answer()
-		return caller.CallResponse{
-			Status: a.Status(), Header: http.Header{"Content-Type": {a.ContentType()}}, Body: a.Body(), Recorded: true,
-		}, nil
-	}
 	facts := result.Facts(d.isFirstSend(req.Request))
 	message := "the claim of the call is in state " + string(result.Status())
 	if result.Status() == claim.Answered {
-		facts.Completed = true
-		message = fmt.Sprintf("the call ran with status %d; its answer is too large to be kept", result.Answer().Status())
+		response, err := recordedResponse(result.Answer())
+		if err == nil {
+			return response, nil
+		}
+		_, malformed := errors.AsType[*http1.MalformedError](err)
+		facts.Completed, message = !malformed, err.Error()
 	}
 	return caller.CallResponse{}, outcome.NewRefusal(outcome.RefusalConfig{
 		Code: result.Code(), Message: message, Facts: facts, RetryAfter: result.RetryAfter(),
 	})
 }
 
+// recordedResponse returns the response that was recorded for a call. Hosts of a version that did not check responses may have recorded
+// malformed ones.
+func recordedResponse(a claim.Answer) (caller.CallResponse, error) {
+	if err := http1.CheckHead(a.Status(), nil); err != nil {
+		return caller.CallResponse{}, eris.Wrap(err, "recorded answer")
+	}
+	if !a.Complete() {
+		return caller.CallResponse{}, eris.Errorf("the call ran with status %d; its answer is too large to be kept", a.Status())
+	}
+	return caller.CallResponse{
+		Status: a.Status(), Header: http.Header{"Content-Type": {a.ContentType()}}, Body: a.Body(), Recorded: true,
+	}, nil
+}
+
 func (d *Daemon) send(ctx context.Context, req caller.CallRequest, assignment dispatch.Assignment) (plain.Response, error) {
 	response, err := d.plain.Call(ctx, plain.Request{
 		Address: assignment.Pipeline().Stages()[0].Address(), Method: req.Method, Path: "/" + req.Path, Header: req.Header,
