Refuse answers of HTTP/1.0 with a transfer encoding on the platform's path

Callers saw: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" came as a sealed 200 with the chunk sizes in its body; with a length beside it, its connection was used again.

Cause: net/http drops Transfer-Encoding in HTTP/1.0 before http1 can see it. RFC 9112, section 6.1, has such a message treated as one with faulty framing. http1 lets net/http read it as HTTP/1.1, and refuses it if it has a transfer encoding; connections of HTTP/1.0 are not kept.

Evidence: TestMalformedAnswers, 2 such answers to 4 kinds of routes: all 8 failed before, none now. TestSoundAnswers: HTTP/1.0 with a length, with keep-alive, and after an informational head is passed on. FuzzReadHead: 1,844,883 runs in 20 s found nothing.

--- a/internal/endpoint/http1/check.go
+++ b/internal/endpoint/http1/check.go
@@ -22,12 +22,14 @@
 	InvalidStatus Defect = "status"
 	// InvalidFieldName is a header field whose name contains a blank.
 	InvalidFieldName Defect = "field_name"
+	// InvalidFraming is a Transfer-Encoding in HTTP/1.0, which has none.
+	InvalidFraming Defect = "framing"
 	// Unreadable is what net/http does not read as a response.
 	Unreadable Defect = "unreadable"
 )
 
 // Defects returns all defects.
-func Defects() []Defect { return []Defect{InvalidStatus, InvalidFieldName, Unreadable} }
+func Defects() []Defect { return []Defect{InvalidStatus, InvalidFieldName, InvalidFraming, Unreadable} }
 
 // MalformedError is the error of received bytes that are no response.
 type MalformedError struct {
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -455,7 +456,7 @@
 	c.headLeft = maxHeadBytes
 	defer func() { c.headLeft = -1 }()
 	for range maxInformational + 1 {
-		resp, err := http.ReadResponse(c.reader, request)
+		resp, err := c.readResponse(request)
 		if err != nil {
 			return nil, checkRead(err)
 		}
@@ -468,3 +469,33 @@
 	}
 	return nil, errInformational
 }
+
+// readResponse reads the next head. net/http drops the Transfer-Encoding of a response of HTTP/1.0 and would take the sizes of chunks
+// for a part of the body, so that such a response is read as one of HTTP/1.1 and refused if it has the field.
+func (c *conn) readResponse(request *http.Request) (*http.Response, error) {
+	const http10, http11 = "HTTP/1.0", "HTTP/1.1"
+	version, err := c.reader.Peek(len(http10))
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	if string(version) != http10 {
+		return http.ReadResponse(c.reader, request)
+	}
+	if _, err := c.reader.Discard(len(http10)); err != nil {
+		return nil, err
+	}
+	c.reader = bufio.NewReaderSize(io.MultiReader(strings.NewReader(http11), c.reader), bufferSize)
+	resp, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return nil, err
+	}
+	if encoding := resp.TransferEncoding; len(encoding) > 0 {
+		return nil, newMalformedError(InvalidFraming, fmt.Errorf("transfer encoding %q in %s", encoding, http10))
+	}
+	// The connection is not kept, since its reader is wrapped.
+	resp.Close = true
+	return resp, nil
+}
