Read the answers of plain services with the pool's client, too

The other clients of net/http decode JSON, which chunk sizes are not.

Evidence: TestTransferEncodingInHTTP10 failed before (200 with "9\n{"lot":1}\n0"), and passes; the contract of the client (5 methods, all cases), its requests on the wire, test/failure and make demo pass.

--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -44,7 +44,8 @@
 type Config struct {
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
-	MaxIdle     int
+	// MaxIdle limits the idle connections to one address. If it is negative, no connection is kept.
+	MaxIdle int
 	// Matches tells whether a response with these headers belongs to the request; nil accepts all responses.
 	Matches func(*Request, http.Header) Match
 }
--- a/internal/endpoint/plain/client.go
+++ b/internal/endpoint/plain/client.go
@@ -6,11 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"waxwingplank/internal/endpoint/http1"
@@ -23,8 +20,6 @@
 	defaultDialTimeout = time.Second
 	// defaultMaxBodyBytes limits the share of a host's 32 MB of memory that one call can use.
 	defaultMaxBodyBytes = 1 << 20
-	// maxHeaderBytes limits the head of a response, which a faulty service may send without end.
-	maxHeaderBytes = 64 << 10
 )
 
 // Config configures a Client.
@@ -43,7 +38,7 @@
 type Client struct {
 	timeout time.Duration
 	maxBody int64
-	http    *http.Client
+	pool    *http1.Pool
 }
 
 // New returns a client.
@@ -57,15 +52,9 @@
 	if cfg.MaxBodyBytes <= 0 {
 		cfg.MaxBodyBytes = defaultMaxBodyBytes
 	}
-	return &Client{timeout: cfg.Timeout, maxBody: cfg.MaxBodyBytes, http: &http.Client{
-		Transport: http1.NewTransport(&http.Transport{
-			DialContext:            (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-		}),
-		// Do not follow redirects: that would send the call a second time.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Client{
+		timeout: cfg.Timeout, maxBody: cfg.MaxBodyBytes, pool: http1.New(http1.Config{DialTimeout: cfg.DialTimeout, MaxIdle: -1}),
+	}
 }
 
 // Request describes one call.
@@ -100,24 +89,20 @@
 func (c *Client) Call(ctx context.Context, r Request) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
 	target := r.Method + " " + r.Address + r.Path
-	req, err := newHTTPRequest(traced, r)
+	req, err := newHTTPRequest(ctx, r)
 	if err != nil {
 		return Response{}, &Error{kind: ErrInvalid, target: target, cause: err}
 	}
-	res, err := c.http.Do(req)
+	res, err := c.pool.Do(ctx, r.Address, req)
 	if err != nil {
-		sent := connected.Load()
+		sent := http1.Sent(err)
 		return Response{}, &Error{kind: failureKind(ctx, sent, err), target: target, sent: sent, cause: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxBody+1))
 	if err != nil {
-		failed := &Error{kind: failureKind(ctx, true, err), target: target, sent: true, status: res.StatusCode, cause: err}
+		failed := &Error{kind: failureKind(ctx, true, err), target: target, sent: true, status: res.Status, cause: err}
 		if _, ok := errors.AsType[*http1.MalformedError](err); ok {
 			// The status is not to be believed either.
 			failed.status = 0
@@ -126,26 +111,26 @@
 	}
 	if int64(len(body)) > c.maxBody {
 		err := fmt.Errorf("over %d bytes", c.maxBody)
-		return Response{}, &Error{kind: ErrTooLarge, target: target, sent: true, status: res.StatusCode, cause: err}
+		return Response{}, &Error{kind: ErrTooLarge, target: target, sent: true, status: res.Status, cause: err}
 	}
-	return Response{status: res.StatusCode, header: res.Header, body: body}, nil
+	return Response{status: res.Status, header: res.Header, body: body}, nil
 }
 
-// nonReplayableBody hides the type of its reader from net/http, so that the request has no GetBody.
-// Without GetBody the transport cannot send the body again on another connection, as it otherwise does
-// for idempotent methods and for requests with an Idempotency-Key. Empty bodies are wrapped too, because
-// the transport repeats requests without a body.
-type nonReplayableBody struct{ io.Reader }
-
-func newHTTPRequest(ctx context.Context, r Request) (*http.Request, error) {
+// newHTTPRequest lets net/http check and escape the method and the path.
+func newHTTPRequest(ctx context.Context, r Request) (*http1.Request, error) {
 	if !strings.HasPrefix(r.Path, "/") {
 		return nil, fmt.Errorf("path %q does not start with a slash", r.Path)
 	}
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.Path, nonReplayableBody{bytes.NewReader(r.Body)})
+	checked, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.Path, http.NoBody)
 	if err != nil {
 		return nil, err
 	}
-	req.ContentLength = int64(len(r.Body))
+	req := &http1.Request{
+		Method: checked.Method, Target: checked.URL.RequestURI(), Host: r.Address, Header: http.Header{}, Length: int64(len(r.Body)), Fresh: true,
+	}
+	if len(r.Body) > 0 {
+		req.Body = bytes.NewReader(r.Body)
+	}
 	for name, values := range r.Header {
 		if !isHopByHop(name) {
 			req.Header[http.CanonicalHeaderKey(name)] = values
--- a/internal/endpoint/plain/client_test.go
+++ b/internal/endpoint/plain/client_test.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// Guards against a body that is not the service's: net/http drops the Transfer-Encoding of a response of HTTP/1.0 and takes the sizes of
+// chunks for a part of the body.
+func TestTransferEncodingInHTTP10(t *testing.T) {
+	is := is.New(t)
+	server := start(t, `request
+send "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"lot\":1}\r\n0\r\n\r\n"`)
+	r := plain.Request{Address: server.Address(), Method: http.MethodPost, Path: "/registrations"}
+	is.Equal(describe(newClient().Call(context.Background(), r)), "error connection lost, sent")
+}
+
 // Guards against sending a call on an old connection. If the service closed that connection, it would be unclear whether
 // the call ran, and a late copy of an earlier response on it would be taken for the response to this call.
 func TestCallsUseNewConnections(t *testing.T) {
