Count trailers that net/http refuses as malformed

An answer whose trailer had a control byte in a field name was refused and logged, but not counted, while one with a blank there was.

Cause: only errors of heads were classified. The end of a body in chunks now counts net/http's error of a trailer as "unreadable". Evidence: TestMalformedEnds, 4 kinds of routes, asked for the count: failed before, passes. Two comments are reworded.

--- a/internal/endpoint/http1/check.go
+++ b/internal/endpoint/http1/check.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"strings"
 )
 
@@ -117,7 +118,11 @@
 
 // checkEnd returns the error with which the body ends. At io.EOF, net/http has added the fields of the trailer to the response.
 func (b *chunkedBody) checkEnd(err error) error {
-	if !errors.Is(err, io.EOF) {
+	var trailer textproto.ProtocolError
+	switch {
+	case errors.As(err, &trailer):
+		return newMalformedError(Unreadable, err)
+	case !errors.Is(err, io.EOF):
 		return err
 	}
 	if invalid := checkFieldNames(b.resp.Trailer); invalid != nil {
@@ -127,7 +132,7 @@
 }
 
 // checkFieldNames looks for blanks only, since net/http itself rejects all other bytes that a name must not have. It keeps a
-// Content-Length or Transfer-Encoding with a blank before its colon as a field of its own and ignores what it says.
+// Content-Length or Transfer-Encoding with a blank before its colon under another name and does not apply it.
 func checkFieldNames(header http.Header) error {
 	for name := range header {
 		if strings.IndexByte(name, ' ') >= 0 {
--- a/internal/endpoint/http1/transport.go
+++ b/internal/endpoint/http1/transport.go
@@ -10,8 +10,8 @@
 // Transport is a http.RoundTripper for clients of net/http that returns a *MalformedError for a malformed response.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a Transport that sends its requests through the base, each on a connection of its own: net/http may give a
-// connection to the next request before the response on it has been checked.
+// NewTransport returns a Transport that sends each request through the base on a new connection: net/http may give a kept one to the
+// next request before the response on it has been checked.
 func NewTransport(base *http.Transport) *Transport {
 	base.DisableKeepAlives = true
 	return &Transport{base: base}
