--- a/internal/endpoint/http1/pool_test.go
+++ b/internal/endpoint/http1/pool_test.go
@@ -89,6 +89,19 @@
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
 
+// readBody returns the body of a response, or "error" for a request that failed after it had been sent.
+func readBody(t *testing.T, resp *Response, err error) string {
+	t.Helper()
+	is := is.New(t)
+	if err != nil {
+		is.True(Sent(err))
+		return "error"
+	}
+	data, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	return string(data)
+}
+
 // Guards the reuse of connections: bytes that are not part of the response to a request must not reach its caller.
 func TestDo(t *testing.T) {
 	cases := []struct {
@@ -116,16 +129,8 @@
 			s := newScriptedServer(t, c.responses...)
 			pool := New(Config{Matches: matches})
 			for i, want := range c.want {
-				body := "error"
 				resp, err := pool.Do(context.Background(), s.listener.Addr().String(), get(string(rune('0'+i))))
-				if err == nil {
-					data, err := io.ReadAll(resp.Body)
-					is.NoErr(err)
-					body = string(data)
-				} else {
-					is.True(Sent(err))
-				}
-				is.Equal(body, want)
+				is.Equal(readBody(t, resp, err), want)
 				req := <-s.requests
 				is.Equal(req.RequestURI, "/x?y=%2F")
 				is.Equal(req.Host, "host.example")
@@ -159,14 +164,8 @@
 			s := newScriptedServer(t, c.responses...)
 			pool := New(Config{Matches: matches})
 			for i, want := range c.want {
-				got := "error"
 				resp, err := pool.DoRepeatable(context.Background(), s.listener.Addr().String(), get(string(rune('0'+i))))
-				if err == nil {
-					data, err := io.ReadAll(resp.Body)
-					is.NoErr(err)
-					got = string(data)
-				}
-				is.Equal(got, want)
+				is.Equal(readBody(t, resp, err), want)
 			}
 			is.Equal(len(s.requests), c.sends)
 		})
