--- a/internal/standin/script/cases.go
+++ b/internal/standin/script/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/rogpeppe/go-internal/txtar"
 )
@@ -19,6 +20,19 @@
 // Part returns the contents of one file of the case, or an empty string if it is missing.
 func (c Case) Part(name string) string { return c.parts[name] }
 
+// Timeout returns the part "timeout" of a case whose client must not give up on a busy machine, or else the given timeout.
+func (c Case) Timeout(usual time.Duration) time.Duration {
+	text := strings.TrimSpace(c.parts["timeout"])
+	if text == "" {
+		return usual
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		panic("script stand-in: " + err.Error())
+	}
+	return d
+}
+
 // ReadCases reads the test cases of a txtar archive, in the order of the file.
 func ReadCases(path string) ([]Case, error) {
 	archive, err := txtar.ParseFile(path)
