--- a/internal/standin/script/cases.go
+++ b/internal/standin/script/cases.go
@@ -20,7 +20,7 @@
 // Part returns the contents of one file of the case, or an empty string if it is missing.
 func (c Case) Part(name string) string { return c.parts[name] }
 
-// Timeout returns the part "timeout" of a case whose client must not give up on a busy machine, or else the given timeout.
+// Timeout returns the part "timeout" of a case, or the given timeout if the case has none.
 func (c Case) Timeout(usual time.Duration) time.Duration {
 	text := strings.TrimSpace(c.parts["timeout"])
 	if text == "" {
