--- a/review/.lab3/lab.go
+++ b/review/.lab3/lab.go
@@ -227,7 +227,7 @@
 }
 
 func (h *host) kill() {
-	if h.cmd == nil {
+	if h.cmd == nil || h.cmd.Process == nil {
 		return
 	}
 	h.asked = true
