--- a/review/.lab3/lab.go
+++ b/review/.lab3/lab.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -96,6 +97,14 @@
 	if l.binary, err = filepath.Abs("target/waxwingplankd"); err != nil {
 		cannot("%v", err)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		// The hosts end with this process.
+		_ = os.RemoveAll(l.dir)
+		os.Exit(2)
+	}()
 	l.store = standin.NewStore()
 	l.server = httptest.NewServer(l.store)
 	if run(l) {
@@ -214,6 +223,7 @@
 	defer func() { _ = log.Close() }()
 	h.cmd = exec.CommandContext(context.Background(), h.lab.binary, "--entry", "--settings", h.settings)
 	h.cmd.Stdout, h.cmd.Stderr = log, log
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.cmd.Start(); err != nil {
 		cannot("%s: %v", h.name, err)
 	}
