Take an answer for whole only if its connection ended in order

Cause: the kernel reports a reset once, to the read or the write that asks first. A trace of a host shows write() = ECONNRESET in the sender of the upload and then read() = 0 in the reader of the answer, for which that is the end of a body without a length; in the other order the reader gets ECONNRESET and the sender EPIPE. Nothing compared the two.

http1.orderlyConn now owns what is known of a connection, its writing side included. A read reports the end only if the peer has ended its direction in order; a write in progress is interrupted to ask it and goes on where it stopped, so that no answer waits for the upload. http1.responseBody decides on top of it whether an answer is whole, for the pool (workers, orders, reports, plain services, both stores) and for the clients of net/http (engines, list of hosts, weight store, command line). A part of an answer is an IncompleteError: a lost answer, or a cut where a part has gone out, with a log line and a counter. Answers between hosts end with a message and are not affected; the test is kept.

--- a/internal/daemon/edge/metrics.go
+++ b/internal/daemon/edge/metrics.go
@@ -55,6 +55,10 @@
 	for _, defect := range http1.Defects() {
 		gauges = append(gauges, gauge{fmt.Sprintf("waxwingplank_malformed_responses_total{defect=%q}", defect), counts[defect]})
 	}
+	incomplete := http1.Incomplete()
+	for _, part := range http1.Parts() {
+		gauges = append(gauges, gauge{fmt.Sprintf("waxwingplank_incomplete_responses_total{part=%q}", part), incomplete[part]})
+	}
 	for _, g := range gauges {
 		if _, err := fmt.Fprintf(w, "%s %d\n", g.name, g.value); err != nil {
 			return eris.Wrap(err, "edge.Daemon write metrics")
--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -281,7 +281,7 @@
 		answer.recordEnd(err)
 	}
 	if err != nil {
-		r.abort(causeResponseLost)
+		r.abort(causeResponseLost, err)
 	}
 	r.log("answered", map[string]any{fieldEndpoint: e.ID, fieldStatus: answer.reply.Status, fieldSends: r.sends})
 	r.answered = true
--- a/internal/daemon/forward/run.go
+++ b/internal/daemon/forward/run.go
@@ -274,9 +274,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// abort closes the caller's connection, so that a cut-off response can't be mistaken for a complete one.
-func (r *run) abort(cause string) {
-	r.log("answer cut short", map[string]any{fieldCause: cause, fieldSends: r.sends, "runs": r.runs})
+// abort closes the caller's connection, so that a cut-off response can't be mistaken for a complete one. err, if not nil, is why.
+func (r *run) abort(cause string, err error) {
+	fields := map[string]any{fieldCause: cause, fieldSends: r.sends, "runs": r.runs}
+	if err != nil {
+		fields[fieldError] = err.Error()
+	}
+	r.log("answer cut short", fields)
 	r.f.cfg.Metrics.Aborted(cause)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -157,7 +157,7 @@
 // finish ends a call that can't be served any further.
 func (s *streamRun) finish(cause string, after time.Duration) {
 	if s.headRelayed {
-		s.abort(cause)
+		s.abort(cause, nil) // the end of the attempt has been logged
 	}
 	s.fail(cause, after)
 }
--- a/internal/daemon/run/metrics.go
+++ b/internal/daemon/run/metrics.go
@@ -42,6 +42,8 @@
 	ConnectionsClosed    map[connection.Cause]int64 `json:"connections_closed"`
 	// MalformedResponses counts what other processes sent in place of a response.
 	MalformedResponses map[http1.Defect]int64 `json:"malformed_responses"`
+	// IncompleteResponses counts responses of other processes that broke off.
+	IncompleteResponses map[http1.Part]int64 `json:"incomplete_responses"`
 }
 
 func (d *Daemon) metrics() metrics {
@@ -53,7 +55,7 @@
 		AttemptIdleTimeouts: c.IdleTimeouts, EndpointCrashes: c.Crashes, StreamsRefused: c.Refused,
 		HostsLive: len(d.members.Live()), Generations: map[string]uint64{}, InForce: map[string]uint64{},
 		ConnectionsOpen: connections.Open, UnfinishedHeadsBytes: connections.HeadMemoryBytes, ConnectionsClosed: connections.Closed,
-		MalformedResponses: http1.Malformed(),
+		MalformedResponses: http1.Malformed(), IncompleteResponses: http1.Incomplete(),
 	}
 	for _, doc := range d.members.Documents() {
 		m.Generations[string(doc.Service())] = doc.Generation()
--- a/internal/endpoint/http1/body.go
+++ b/internal/endpoint/http1/body.go
@@ -46,6 +46,9 @@
 	return err
 }
 
+// pastTime is a deadline that has passed.
+var pastTime = time.Unix(1, 0)
+
 var errSendTimeout = errors.New("http1: request was not written in time")
 
 // bodyError is an error of the source of a request's body.
--- a/internal/endpoint/http1/check.go
+++ b/internal/endpoint/http1/check.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/textproto"
 	"strings"
 )
 
@@ -66,12 +65,16 @@
 	return &MalformedError{defect: d, err: err}
 }
 
-// checkRead returns a *MalformedError for an error with which net/http ended reading, unless the connection failed or ended.
+// checkRead returns the error of a head of which something was received: an *IncompleteError if the connection failed or ended, and a
+// *MalformedError if net/http could not read it.
 func checkRead(err error) error {
 	var failed net.Error
 	var found *MalformedError
-	if errors.As(err, &found) || errors.As(err, &failed) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	switch {
+	case errors.As(err, &found):
 		return err
+	case errors.As(err, &failed), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return checkBroken(Head, err)
 	}
 	return newMalformedError(Unreadable, err)
 }
@@ -91,46 +94,10 @@
 	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 		return err
 	}
-	if len(resp.TransferEncoding) > 0 {
-		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp}
-	}
+	resp.Body = &responseBody{ReadCloser: resp.Body, resp: resp}
 	return nil
 }
 
-// chunkedBody ends with a *MalformedError if its trailer is malformed.
-type chunkedBody struct {
-	io.ReadCloser
-	resp *http.Response
-	end  error
-}
-
-// Read implements io.Reader.
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == nil {
-		return n, nil
-	}
-	if b.end == nil {
-		b.end = b.checkEnd(err)
-	}
-	return n, b.end
-}
-
-// checkEnd returns the error with which the body ends. At io.EOF, net/http has added the fields of the trailer to the response.
-func (b *chunkedBody) checkEnd(err error) error {
-	var trailer textproto.ProtocolError
-	switch {
-	case errors.As(err, &trailer):
-		return newMalformedError(Unreadable, err)
-	case !errors.Is(err, io.EOF):
-		return err
-	}
-	if invalid := checkFieldNames(b.resp.Trailer); invalid != nil {
-		return invalid
-	}
-	return io.EOF
-}
-
 // checkFieldNames looks for blanks only, since net/http itself rejects all other bytes that a name must not have. It keeps a
 // Content-Length or Transfer-Encoding with a blank before its colon under another name and does not apply it.
 func checkFieldNames(header http.Header) error {
--- a/internal/endpoint/http1/pool.go
+++ b/internal/endpoint/http1/pool.go
@@ -80,7 +80,8 @@
 	Fresh bool
 }
 
-// Response is the response to a request. Its body must be closed.
+// Response is the response to a request. Its body must be closed. A body that breaks off ends with an *IncompleteError, one whose
+// trailer is malformed with a *MalformedError.
 type Response struct {
 	Status int
 	Header http.Header
@@ -280,7 +281,7 @@
 		}
 		// The past deadline wakes the watching goroutine, which records whether anything was received while the
 		// connection was idle.
-		if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		if err := c.SetReadDeadline(pastTime); err != nil {
 			c.close()
 			continue
 		}
@@ -302,7 +303,7 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	c := &conn{Conn: nc, address: address, headLeft: -1}
+	c := &conn{Conn: &orderlyConn{Conn: nc}, address: address, headLeft: -1}
 	c.reader = bufio.NewReaderSize(headReader{c}, bufferSize)
 	return c, nil
 }
@@ -458,8 +459,11 @@
 	defer func() { c.headLeft = -1 }()
 	for range maxInformational + 1 {
 		resp, err := c.readResponse(request)
+		if err != nil && c.received {
+			err = checkRead(err)
+		}
 		if err != nil {
-			return nil, checkRead(err)
+			return nil, err
 		}
 		if err := checkResponse(resp); err != nil {
 			return nil, err
--- a/internal/endpoint/http1/transport.go
+++ b/internal/endpoint/http1/transport.go
@@ -1,19 +1,33 @@
 package http1
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"sync/atomic"
 )
 
-// Transport is a http.RoundTripper for clients of net/http that returns a *MalformedError for a malformed response.
+// Transport is a http.RoundTripper for clients of net/http that returns a *MalformedError for a malformed response and an
+// *IncompleteError for one that broke off, also when its body is read.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport that sends each request through the base on a new connection: net/http may give a kept one to the
 // next request before the response on it has been checked.
 func NewTransport(base *http.Transport) *Transport {
 	base.DisableKeepAlives = true
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &orderlyConn{Conn: nc}, nil
+	}
 	return &Transport{base: base}
 }
 
--- a/internal/endpoint/plain/client_test.go
+++ b/internal/endpoint/plain/client_test.go
@@ -86,6 +86,24 @@
 	}
 }
 
+// Guards against a part of an answer that looks complete because the service broke off while a long call was still being sent.
+func TestAnswersCutDuringTheUpload(t *testing.T) {
+	const rounds = 50
+	for _, head := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200 OK\r\nConnection: close"} {
+		t.Run(head, func(t *testing.T) {
+			is := is.New(t)
+			server := start(t, fmt.Sprintf("buffer 4096\nbegin\nreceive 1000\nsend %q\nwait 5\nreset", head+"\r\n\r\n{\"lot"))
+			r := plain.Request{Address: server.Address(), Method: http.MethodPost, Path: "/registrations", Body: make([]byte, 8<<20)}
+			got := map[string]int{}
+			for range rounds {
+				got[describe(newClient(5*time.Second).Call(context.Background(), r))]++
+			}
+			is.Equal(got, map[string]int{"error connection lost, sent, completed": rounds})
+			is.Equal(server.Begun(), rounds) // a call is sent once
+		})
+	}
+}
+
 // Guards against a body that is not the service's: net/http drops the Transfer-Encoding of a response of HTTP/1.0 and takes the sizes of
 // chunks for a part of the body.
 func TestTransferEncodingInHTTP10(t *testing.T) {
--- a/internal/standin/script/server.go
+++ b/internal/standin/script/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -19,11 +20,17 @@
 //
 //	connection            starts the script of the next connection; the last script serves all further ones
 //	request               reads one complete request
+//	begin                 reads the head of a request
+//	receive N             reads N bytes of the body of the request that was begun
+//	rest                  reads the rest of that request
 //	answer STATUS BODY HEADER...  sends a response with its length; all but the status are quoted
 //	head STATUS           sends the head of a response that ends with the connection
 //	send TEXT             sends a quoted text
 //	repeat N TEXT         sends a quoted text N times
 //	wait MS               waits for MS milliseconds
+//	hold                  waits until the test calls Release
+//	buffer N              limits the receive buffer of the connection to about N bytes
+//	shutdown              ends the server's direction of the connection in order
 //	reset                 resets the connection
 //	stall                 sends nothing for an hour or until the server is closed
 //
@@ -31,17 +38,19 @@
 type Server struct {
 	listeners []net.Listener
 	scripts   [][]string
+	released  chan struct{}
 	closing   chan struct{}
 	done      sync.WaitGroup
 
 	mu       sync.Mutex
 	conns    []net.Conn
+	begun    int
 	requests []string
 }
 
 // New parses a script and returns a server that has not been started.
 func New(text string) *Server {
-	s := &Server{scripts: [][]string{nil}, closing: make(chan struct{})}
+	s := &Server{scripts: [][]string{nil}, released: make(chan struct{}), closing: make(chan struct{})}
 	for line := range strings.Lines(text) {
 		line = strings.TrimSpace(line)
 		last := len(s.scripts) - 1
@@ -87,6 +96,9 @@
 	return errors.Join(errs...)
 }
 
+// Release waits until a script has arrived at a hold and lets it continue.
+func (s *Server) Release() { s.released <- struct{}{} }
+
 // Requests returns the complete requests that the server read, in the order of their arrival.
 func (s *Server) Requests() []string {
 	s.mu.Lock()
@@ -94,6 +106,13 @@
 	return append([]string{}, s.requests...)
 }
 
+// Begun returns the number of requests of which the server has read the head.
+func (s *Server) Begun() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun
+}
+
 // Connections returns the number of accepted connections.
 func (s *Server) Connections() int {
 	s.mu.Lock()
@@ -115,59 +134,99 @@
 	}
 }
 
+// session is the script of one connection in progress.
+type session struct {
+	*Server
+	conn   net.Conn
+	reader *bufio.Reader
+	// request is the one whose head was read last, received what was read of its body.
+	request  *http.Request
+	received bytes.Buffer
+}
+
 func (s *Server) runScript(conn net.Conn, script []string) {
 	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
+	c := &session{Server: s, conn: conn, reader: bufio.NewReader(conn)}
 	for _, line := range script {
-		if err := s.runCommand(conn, reader, line); err != nil {
+		if err := c.runCommand(line); err != nil {
 			// The client may close the connection first, which ends the script.
 			return
 		}
 	}
 }
 
-func (s *Server) runCommand(conn net.Conn, reader *bufio.Reader, line string) error {
+func (c *session) runCommand(line string) error {
 	command, rest, _ := strings.Cut(line, " ")
 	number, tail, _ := strings.Cut(rest, " ")
 	switch command {
 	case "request":
-		return s.readRequest(reader)
+		if err := c.begin(); err != nil {
+			return err
+		}
+		return c.finishRequest()
+	case "begin":
+		return c.begin()
+	case "receive":
+		_, err := io.CopyN(&c.received, c.request.Body, int64(parseCount(number)))
+		return err
+	case "rest":
+		return c.finishRequest()
 	case "answer":
-		return writeResponse(conn, number, parseQuoted(tail))
+		return writeResponse(c.conn, number, parseQuoted(tail))
 	case "head":
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 %s Scripted\r\nConnection: close\r\n\r\n", number)
+		_, err := fmt.Fprintf(c.conn, "HTTP/1.1 %s Scripted\r\nConnection: close\r\n\r\n", number)
 		return err
 	case "send":
-		_, err := io.WriteString(conn, parseQuoted(rest)[0])
+		_, err := io.WriteString(c.conn, parseQuoted(rest)[0])
 		return err
 	case "repeat":
-		_, err := io.WriteString(conn, strings.Repeat(parseQuoted(tail)[0], parseCount(number)))
+		_, err := io.WriteString(c.conn, strings.Repeat(parseQuoted(tail)[0], parseCount(number)))
 		return err
 	case "wait":
-		return s.wait(time.Duration(parseCount(number)) * time.Millisecond)
+		return c.wait(time.Duration(parseCount(number)) * time.Millisecond)
+	case "hold":
+		select {
+		case <-c.released:
+			return nil
+		case <-c.closing:
+			return net.ErrClosed
+		}
+	case "buffer":
+		return c.conn.(*net.TCPConn).SetReadBuffer(parseCount(number))
+	case "shutdown":
+		return c.conn.(*net.TCPConn).CloseWrite()
 	case "reset":
-		if tcp, ok := conn.(*net.TCPConn); ok {
+		if tcp, ok := c.conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
 		return errors.New("reset")
 	case "stall":
-		return s.wait(time.Hour)
+		return c.wait(time.Hour)
 	}
 	panic("script stand-in: unknown command: " + line)
 }
 
-func (s *Server) readRequest(reader *bufio.Reader) error {
-	r, err := http.ReadRequest(reader)
-	if err != nil {
+func (c *session) begin() (err error) {
+	c.received.Reset()
+	if c.request, err = http.ReadRequest(c.reader); err != nil {
 		return err
 	}
-	dump, err := httputil.DumpRequest(r, true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun++
+	return nil
+}
+
+// finishRequest reads what remains of the request that was begun and notes the whole.
+func (c *session) finishRequest() error {
+	c.request.Body = io.NopCloser(io.MultiReader(&c.received, c.request.Body))
+	dump, err := httputil.DumpRequest(c.request, true)
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.requests = append(s.requests, string(dump))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests = append(c.requests, string(dump))
 	return nil
 }
 
