Don't believe the head of an answer that broke off

Callers saw a request that must not run twice sent to a second worker after the first had broken off a refusal, or a 503 that promises "not run", though only a part of an answer had come.

Cause: plain calls counted a refusal as not run whether its body ended or not; streams did not read that body, and took a part of a 404 for a final failure; the client of the object API and that of the engines took the status of such an answer for the outcome of a write, an order or a stream.

The body of a refusal is read before it counts, and an answer that broke off ends its attempt as a lost one in all of them. A refusal of which all was read leaves its connection usable, which was closed before for streams.

--- a/internal/daemon/forward/plain.go
+++ b/internal/daemon/forward/plain.go
@@ -179,11 +179,13 @@
 	}
 	r.recordLimit(reply, e, sentAt)
 	r.recordLife(reply, e, sentAt)
+	answer, err := readReply(reply)
+	// A part of a refusal does not show that the request has not run.
+	refused := reply.NotRun && err == nil
 	r.sends++
-	if !reply.NotRun {
+	if !refused {
 		r.runs++
 	}
-	answer, err := readReply(reply)
 	if err == nil && answer.tail != nil {
 		if !stopTimer() {
 			err = errAttemptTimeout
@@ -191,20 +193,19 @@
 		answer.cancel, relayed = cancel, true
 	}
 	switch {
-	case reply.NotRun:
+	case refused:
 		end = attemptNotRun
 	case err != nil:
 		r.recordBroken(ctx, attempt, e.ID, true, err)
+		return nil, attributeResult(callCtx, balance.Failed), err
 	default:
 		end = completeEnd(reply.CloseDelimited)
 	}
 	switch {
 	case r.recordPause(reply, e.ID, e.Address):
-		return answer, balance.Paused, err
-	case reply.NotRun:
-		return answer, balance.Refused, err
-	case err != nil:
-		return nil, attributeResult(callCtx, balance.Failed), err
+		return answer, balance.Paused, nil
+	case refused:
+		return answer, balance.Refused, nil
 	case reply.Status >= minServerError:
 		return answer, balance.Failed, nil
 	case reply.Status < http.StatusMultipleChoices && !reply.Verified:
--- a/internal/daemon/forward/stream.go
+++ b/internal/daemon/forward/stream.go
@@ -339,6 +339,13 @@
 	}
 	s.recordLimit(reply, send.Endpoint, sentAt)
 	s.recordLife(reply, send.Endpoint, sentAt)
+	if reply.NotRun {
+		// A part of a refusal does not show that the request has not run.
+		if _, err := readReply(reply); err != nil {
+			put(attemptResult{err: err, ended: true, headReceived: true})
+			return
+		}
+	}
 	// Who receives a failure reads its body and closes it.
 	failure := !reply.NotRun && !reply.isStream()
 	delivered := put(attemptResult{reply: reply})
@@ -381,21 +388,7 @@
 	case len(result.events) > 0:
 		return s.handleEvents(ctx, result.events)
 	case result.err != nil:
-		sent := result.headReceived || s.f.cfg.Endpoints.MayHaveSent(result.err)
-		s.log("attempt failed", map[string]any{fieldPath: s.attempt.path.String(), fieldError: result.err.Error(), "sent": sent, fieldEvents: s.eventCount, "close_delimited": s.attempt.closeDelimited})
-		s.countSend(sent)
-		if s.previous != nil {
-			s.revertToPrevious("it failed")
-			return false
-		}
-		s.recordBroken(ctx, s.attempt.id, s.attempt.path[0].Worker, sent, result.err)
-		s.avoid[s.attempt.path[0].Worker] = true
-		s.recordSend(s.attempt.path[0].Worker, false)
-		s.suspect(s.attempt.path[0].Worker)
-		if !sent {
-			return !s.retryUnsent(ctx, causeResponseLost)
-		}
-		return s.resume(ctx, causeResponseLost)
+		return s.handleLost(ctx, result.err, result.headReceived || s.f.cfg.Endpoints.MayHaveSent(result.err))
 	default:
 		s.relayPendingHead()
 		s.log("answered", map[string]any{
@@ -409,6 +402,25 @@
 	}
 }
 
+// handleLost handles an attempt in progress that has ended without a complete reply, and reports whether the call has ended.
+func (s *streamRun) handleLost(ctx context.Context, err error, sent bool) bool {
+	worker := s.attempt.path[0].Worker
+	s.log("attempt failed", map[string]any{fieldPath: s.attempt.path.String(), fieldError: err.Error(), "sent": sent, fieldEvents: s.eventCount, "close_delimited": s.attempt.closeDelimited})
+	s.countSend(sent)
+	if s.previous != nil {
+		s.revertToPrevious("it failed")
+		return false
+	}
+	s.recordBroken(ctx, s.attempt.id, worker, sent, err)
+	s.avoid[worker] = true
+	s.recordSend(worker, false)
+	s.suspect(worker)
+	if !sent {
+		return !s.retryUnsent(ctx, causeResponseLost)
+	}
+	return s.resume(ctx, causeResponseLost)
+}
+
 func (s *streamRun) handleReply(ctx context.Context, reply *Reply) bool {
 	s.attempt.closeDelimited = reply.CloseDelimited
 	s.countSend(!reply.NotRun)
@@ -461,18 +473,17 @@
 // handleFailure handles a reply that is not a valid stream.
 func (s *streamRun) handleFailure(ctx context.Context, reply *Reply) bool {
 	answer, err := readReply(reply)
-	fields := map[string]any{fieldPath: s.attempt.path.String(), fieldStatus: reply.Status}
 	if err != nil {
-		fields[fieldError] = err.Error()
+		return s.handleLost(ctx, err, true)
 	}
-	s.log("attempt failed", fields)
+	s.log("attempt failed", map[string]any{fieldPath: s.attempt.path.String(), fieldStatus: reply.Status})
 	s.recordSend(s.attempt.path[0].Worker, false)
 	retriable := reply.Status >= minServerError || reply.Status < http.StatusMultipleChoices
 	if retriable && s.route.Idempotent() && s.consumeRepeat(time.Now()) {
 		s.avoid[s.attempt.path[0].Worker] = true
 		return !s.start(ctx)
 	}
-	if s.headRelayed || err != nil || reply.Status < http.StatusMultipleChoices {
+	if s.headRelayed || reply.Status < http.StatusMultipleChoices {
 		s.finish(causeResponseLost, retryAfterFull)
 		return true
 	}
--- a/internal/endpoint/engine/client.go
+++ b/internal/endpoint/engine/client.go
@@ -188,7 +188,7 @@
 const maxRefusalBytes = 4 << 10
 
 // refusalError returns the error for a response with an error status. The code, the message and the
-// retry delay are filled in if the response contains them.
+// retry delay are filled in if the response contains them. A broken response refuses nothing.
 func refusalError(operation, address string, res *http.Response) *Error {
 	defer func() { _ = res.Body.Close() }()
 	e := &Error{
@@ -205,6 +205,9 @@
 		} `json:"error"`
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxRefusalBytes))
+	if http1.Broken(err) {
+		return &Error{kind: ErrReset, operation: operation, address: address, sent: true, cause: err}
+	}
 	if err != nil || json.Unmarshal(body, &w) != nil {
 		return e
 	}
--- a/internal/endpoint/http1/incomplete.go
+++ b/internal/endpoint/http1/incomplete.go
@@ -38,6 +38,13 @@
 // Part returns where the response broke off.
 func (e *IncompleteError) Part() Part { return e.part }
 
+// Broken reports whether a response ended with an *IncompleteError or a *MalformedError, so that its status shows nothing either.
+func Broken(err error) bool {
+	var incomplete *IncompleteError
+	var malformed *MalformedError
+	return errors.As(err, &incomplete) || errors.As(err, &malformed)
+}
+
 // incomplete counts incomplete responses by their part.
 var incomplete expvar.Map
 
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -150,13 +150,12 @@
 	defer func() { _ = res.Body.Close() }()
 	body, err := readBounded(res.Body, k.maxBytes)
 	r.header, r.body = res.Header, body
-	if res.Status >= http.StatusMultipleChoices {
-		r.err = r.statusError(res)
-		return r
-	}
-	if err != nil {
+	switch {
+	case err != nil && (res.Status < http.StatusMultipleChoices || http1.Broken(err)):
 		c.closeIdleAfterTimeout(ctx)
 		r.err = r.newError(r.kindWithoutResponse(true), err)
+	case res.Status >= http.StatusMultipleChoices:
+		r.err = r.statusError(res)
 	}
 	return r
 }
