Take an answer over TLS for whole only after the peer's alert

The command line, which calls hosts over TLS, took a part of an answer without a length for the whole if the connection ended before the peer's close_notify alert, as it does when a host is killed.

Cause: crypto/tls turns such an end into io.EOF, which is what an alert gives, too. http1.orderlyConn, which sees the end of the connection below TLS only if no alert has come, now makes an error of it. RFC 9112, section 9.8, asks for this; answers with a length or chunks stay whole without an alert.

--- a/internal/endpoint/http1/conn.go
+++ b/internal/endpoint/http1/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -18,6 +19,8 @@
 	net.Conn
 
 	mu sync.Mutex
+	// tls is true if the end in order is the close_notify alert of TLS, after which nothing is read.
+	tls bool
 	// failure is the first error of a read or a write that shows that the connection has failed.
 	failure error
 	// writing is true during a write. interrupted, if not nil, is closed when that write has returned.
@@ -27,6 +30,16 @@
 	writeDeadline time.Time
 }
 
+// errNoAlert is the error of a TLS connection that ended without an alert, which crypto/tls takes for an end in order.
+var errNoAlert = fmt.Errorf("http1: no close_notify alert: %w", io.ErrUnexpectedEOF)
+
+// carryTLS sets that the connection carries TLS, whose handshake is complete.
+func (c *orderlyConn) carryTLS() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tls = true
+}
+
 // Read implements net.Conn.
 func (c *orderlyConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -43,6 +56,9 @@
 	if errors.Is(err, io.EOF) && c.writing {
 		c.interruptWrite()
 	}
+	if errors.Is(err, io.EOF) && c.tls {
+		err = errNoAlert
+	}
 	c.record(err)
 	if c.failure != nil {
 		return c.failure
--- a/internal/endpoint/http1/incomplete_test.go
+++ b/internal/endpoint/http1/incomplete_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httputil"
 	"os"
 	"strconv"
@@ -352,3 +354,44 @@
 	close(b.closed)
 	return nil
 }
+
+// Guards against a part of an answer over TLS that looks complete because its connection ended without the peer's close_notify alert.
+func TestEndOverTLS(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		alert        bool
+		end          string
+	}{
+		{"no length and no alert", "HTTP/1.1 200 OK\r\n\r\npart", false, string(Body)},
+		{"HTTP/1.0 and no alert", "HTTP/1.0 200 OK\r\n\r\npart", false, string(Body)},
+		{"no length and an alert", "HTTP/1.1 200 OK\r\n\r\npart", true, "complete"},
+		{"a length and no alert", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart", false, "complete"},
+		{"chunks and no alert", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n", false, "complete"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = io.WriteString(conn, c.answer)
+				if !c.alert {
+					conn = conn.(*tls.Conn).NetConn()
+				}
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			base := &http.Transport{TLSClientConfig: server.Client().Transport.(*http.Transport).TLSClientConfig}
+			counted := Incomplete()[Body]
+			resp, err := (&http.Client{Transport: NewTransport(base)}).Get(server.URL)
+			is.NoErr(err)
+			got, err := io.ReadAll(resp.Body)
+			is.Equal(string(got), "part")
+			is.Equal(describeEnd(err), c.end)
+			is.Equal(Incomplete()[Body] > counted, c.end == string(Body))
+			is.NoErr(resp.Body.Close())
+		})
+	}
+}
--- a/internal/endpoint/http1/transport.go
+++ b/internal/endpoint/http1/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -36,6 +37,13 @@
 	var received atomic.Bool
 	informational := 0
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if secured, ok := info.Conn.(*tls.Conn); ok {
+				if c, ok := secured.NetConn().(*orderlyConn); ok {
+					c.carryTLS()
+				}
+			}
+		},
 		GotFirstResponseByte: func() { received.Store(true) },
 		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
 			// With this hook, net/http bounds each head, but not their number.
