--- a/internal/endpoint/http1/incomplete_test.go
+++ b/internal/endpoint/http1/incomplete_test.go
@@ -225,7 +225,7 @@
 
 // Guards against a sound answer without a length that is refused, or that waits for the end of the upload, because the endpoint ended
 // its direction early; and against an upload that loses or repeats bytes when the reader interrupts it to ask for errors.
-func TestEarlyAnswerDuringTheUpload(t *testing.T) {
+func TestEarlyAnswerIsCompleteAndWaitsForNoUpload(t *testing.T) {
 	sent := make([]byte, 0, 16<<20)
 	for n := 0; len(sent) < cap(sent)-8; n++ {
 		sent = fmt.Appendf(sent, "%07d ", n)
