--- a/internal/endpoint/plain/client_test.go
+++ b/internal/endpoint/plain/client_test.go
@@ -99,7 +99,7 @@
 				got[describe(newClient(5*time.Second).Call(context.Background(), r))]++
 			}
 			is.Equal(got, map[string]int{"error connection lost, sent, completed": rounds})
-			is.Equal(server.Begun(), rounds) // a call is sent once
+			is.Equal(len(server.Begun()), rounds) // a call is sent once
 		})
 	}
 }
--- a/internal/standin/script/server.go
+++ b/internal/standin/script/server.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -29,6 +30,7 @@
 //	repeat N TEXT         sends a quoted text N times
 //	wait MS               waits for MS milliseconds
 //	hold                  waits until the test calls Release
+//	unread                waits until bytes have arrived that are not read, so that a close resets the connection
 //	buffer N              limits the receive buffer of the connection to about N bytes
 //	shutdown              ends the server's direction of the connection in order
 //	reset                 resets the connection
@@ -44,7 +46,7 @@
 
 	mu       sync.Mutex
 	conns    []net.Conn
-	begun    int
+	begun    []string
 	requests []string
 }
 
@@ -106,11 +108,11 @@
 	return append([]string{}, s.requests...)
 }
 
-// Begun returns the number of requests of which the server has read the head.
-func (s *Server) Begun() int {
+// Begun returns the method and the target of each request whose head the server has read, in the order of their arrival.
+func (s *Server) Begun() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.begun
+	return append([]string{}, s.begun...)
 }
 
 // Connections returns the number of accepted connections.
@@ -191,6 +193,8 @@
 		case <-c.closing:
 			return net.ErrClosed
 		}
+	case "unread":
+		return awaitUnread(c.conn.(*net.TCPConn))
 	case "buffer":
 		return c.conn.(*net.TCPConn).SetReadBuffer(parseCount(number))
 	case "shutdown":
@@ -206,6 +210,18 @@
 	panic("script stand-in: unknown command: " + line)
 }
 
+// awaitUnread waits for bytes in the kernel's receive buffer, or for the end of the connection.
+func awaitUnread(conn *net.TCPConn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(descriptor uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+}
+
 func (c *session) begin() (err error) {
 	c.received.Reset()
 	if c.request, err = http.ReadRequest(c.reader); err != nil {
@@ -213,7 +229,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.begun++
+	c.begun = append(c.begun, c.request.Method+" "+c.request.RequestURI)
 	return nil
 }
 
